--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,251 @@
+import type { Clock } from './clock.js';
+import { CloudClient } from './cloud/client.js';
+import type { Operator } from './config/operator.js';
+import type { Settings } from './config/settings.js';
+import { Keeper } from './domain/keeper.js';
+import { Renter } from './fleet/renter.js';
+import { Desk } from './jobs/desk.js';
+import type { Log } from './log.js';
+import { Placer } from './placement/placer.js';
+import { teamShares } from './placement/snapshot.js';
+import { Budget } from './store/budget.js';
+import { StoreClient } from './store/client.js';
+import { Decider } from './store/decider.js';
+import { Follower } from './store/follower.js';
+import { State } from './store/state.js';
+import type { Caller } from './wire/client.js';
+import type { Route } from './wire/server.js';
+import { Steward } from './workers/steward.js';
+
+/** What a controller needs of the world around it; tests hand in stand-ins. */
+export interface World {
+  clock: Clock;
+  log: Log;
+  store: Caller;
+  storeWatch: Caller;
+  cloud: Caller;
+  worker(address: string): Caller;
+}
+
+/** One controller, put together. It starts nothing by itself before `start`. */
+export class Controller {
+  readonly routes: Route[];
+  private readonly state: State;
+  private readonly follower: Follower;
+  private readonly keeper: Keeper;
+  private readonly steward: Steward;
+  private readonly placer: Placer;
+  private readonly renter: Renter;
+  private readonly desk: Desk;
+  private readonly decider: Decider;
+  private stopped = false;
+
+  constructor(
+    private readonly settings: Settings,
+    operator: Operator,
+    private readonly world: World,
+  ) {
+    const { clock, log } = world;
+    const { workers, state: limits, cloud, size } = settings.settings;
+    const self = settings.host_name;
+    const reportMs = workers.report_s * 1000;
+    const leaseMs = workers.lease_s * 1000;
+    const valueBytes = limits.value_kb * 1024;
+    const renewMs = leaseMs * operator.renewalShare;
+    const teams = teamShares(settings);
+    const writes = new Budget(clock, limits.write_rps / 2, limits.write_rps / 2);
+
+    const store = new StoreClient(world.store, world.storeWatch, clock, log, reportMs);
+    this.state = new State((kind, name) => {
+      this.changed(kind, name);
+    });
+    const wake = (): void => {
+      this.decider.wake();
+    };
+    this.follower = new Follower(store, this.state, clock, log, {
+      blockMs: leaseMs / 5,
+      pauseMs: reportMs / 5,
+      gapMs: (size / (limits.rps * 0.25)) * 1000,
+    });
+    this.keeper = new Keeper(
+      {
+        self,
+        peers: settings.others.map((other) => other.host_name),
+        renewMs,
+        leaseMs: renewMs * operator.missedRenewals,
+        listMs: leaseMs * 0.7,
+        txnOps: limits.txn_ops,
+        // A machine takes its name and term, some 24 bytes.
+        maxDomain: Math.floor((valueBytes * 0.9) / 24),
+      },
+      store,
+      this.state,
+      clock,
+      log,
+      wake,
+    );
+    this.steward = new Steward(
+      {
+        self,
+        reportMs,
+        leaseMs,
+        cancelMs: workers.cancel_s * 1000,
+        txnOps: limits.txn_ops,
+        valueBytes,
+        callMs: leaseMs / 4,
+      },
+      this.state,
+      this.keeper,
+      clock,
+      log,
+      (address) => world.worker(address),
+      wake,
+    );
+    const flavors = () => this.renter.flavors;
+    this.placer = new Placer(
+      { self, txnOps: limits.txn_ops, valueBytes },
+      this.state,
+      this.keeper,
+      this.steward,
+      teams,
+      flavors,
+      clock,
+      log,
+    );
+    this.renter = new Renter(
+      {
+        self,
+        rent: operator.rent,
+        idleBoots: operator.idleBoots,
+        listLagMs: cloud.list_lag_s * 1000,
+        leaseMs,
+        txnOps: limits.txn_ops,
+      },
+      new CloudClient(world.cloud, leaseMs / 4),
+      this.state,
+      this.keeper,
+      this.steward,
+      this.placer,
+      teams,
+      new Budget(clock, cloud.rps / size, (cloud.rps / size) * 2),
+      clock,
+      log,
+      wake,
+    );
+    this.desk = new Desk(
+      { self, valueBytes, pollMs: 1500, requestMs: 4000 },
+      store,
+      this.state,
+      this.follower,
+      writes,
+      teams,
+      flavors,
+      clock,
+      log,
+    );
+    const [register, ...claims] = this.keeper.sources();
+    this.decider = new Decider(
+      [
+        ...(register ? [register] : []),
+        ...claims,
+        ...this.steward.sources().slice(0, 2),
+        this.placer.source(),
+        ...this.steward.sources().slice(2),
+        this.desk.source(),
+        ...this.renter.sources(),
+        this.keeper.listSource(),
+      ],
+      store,
+      this.state,
+      writes,
+      clock,
+      log,
+      () => this.follower.current(reportMs),
+      reportMs / 8,
+    );
+    this.routes = this.makeRoutes();
+  }
+
+  /** Runs until `stop`; a loop that throws ends it with the error. */
+  async start(): Promise<void> {
+    await Promise.all([this.follow(), this.keeper.renewLoop(), this.renterLoop()]);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.follower.stop();
+    this.keeper.stop();
+    this.decider.stop();
+  }
+
+  private async follow(): Promise<void> {
+    const following = this.follower.run();
+    while (!this.follower.loaded && !this.stopped) await this.pause(20);
+    await Promise.all([following, this.decider.run(), this.tickLoop()]);
+  }
+
+  private async tickLoop(): Promise<void> {
+    while (!this.stopped) {
+      this.placer.touch();
+      this.steward.tick();
+      await this.pause((this.settings.settings.workers.report_s * 1000) / 4);
+    }
+  }
+
+  private async renterLoop(): Promise<void> {
+    while (!this.stopped) {
+      await this.renter.tick();
+      await this.pause((this.settings.settings.cloud.list_lag_s * 1000) / 8 || 1000);
+    }
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.world.clock.after(ms, resolve));
+  }
+
+  private changed(kind: string, name: string): void {
+    switch (kind) {
+      case 'job': {
+        const job = this.state.jobs.get(name);
+        if (job) this.placer.noteJob(job);
+        this.desk.noteJob(name);
+        this.steward.jobChanged(name);
+        this.placer.touch();
+        break;
+      }
+      case 'dom':
+        this.steward.domainsChanged();
+        this.placer.touch();
+        break;
+      case 'box':
+        this.placer.noteBox(name);
+        this.placer.touch();
+        break;
+      case 'live':
+        this.placer.touch();
+        break;
+    }
+    this.decider.wake();
+  }
+
+  private makeRoutes(): Route[] {
+    return [
+      { method: 'POST', path: ['checkin'], handle: (_, body) => this.steward.checkin(body) },
+      { method: 'POST', path: ['v2', 'runs'], handle: (_, body) => this.desk.submit(body) },
+      { method: 'GET', path: ['v2', 'runs', '*'], handle: ([uid]) => this.desk.poll(uid ?? '') },
+      {
+        method: 'POST',
+        path: ['v2', 'runs', '*', 'withdraw'],
+        handle: ([uid]) => this.desk.withdraw(uid ?? ''),
+      },
+      {
+        method: 'GET',
+        path: ['up'],
+        handle: () => ({
+          status: this.follower.loaded && this.keeper.registered ? 200 : 503,
+          body: {},
+        }),
+      },
+    ];
+  }
+}
--- /dev/null
+++ b/src/domain/dealing.ts
@@ -0,0 +1,23 @@
+/**
+ * Algorithm 1 of the paper, with one change: machines have no links among them, so every machine counts
+ * as adjacent to every heir. Each heir gets one machine a round; the machines are taken zone by zone,
+ * so that each heir's share holds some of every zone.
+ */
+export function deal(
+  machines: { id: string; site: string }[],
+  heirs: string[],
+): Record<string, string[]> {
+  const lists: Record<string, string[]> = {};
+  const order = [...heirs].sort();
+  if (order.length === 0) return lists;
+  const left = [...machines].sort((a, b) => compare(a.site, b.site) || compare(a.id, b.id));
+  left.forEach((machine, at) => {
+    const heir = order[at % order.length] ?? '';
+    (lists[heir] ??= []).push(machine.id);
+  });
+  return lists;
+}
+
+export function compare(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- /dev/null
+++ b/src/fleet/plan.ts
@@ -0,0 +1,146 @@
+/** What to rent and what to give back: pure functions of a snapshot. */
+import type { Flavor } from '../cloud/client.js';
+import { waitingCount } from '../jobs/life.js';
+import { allowed, fits, plan, RANKS, take, type Place, type Snapshot } from '../placement/plan.js';
+import type { JobRecord, JobSpec } from '../store/records.js';
+
+export interface Offer {
+  flavor: string;
+  site: string;
+  reclaimable: boolean;
+}
+
+export const offerKey = (offer: Offer): string =>
+  `${offer.flavor} ${offer.site} ${offer.reclaimable ? 'spot' : 'ordinary'}`;
+
+/** How many tasks of the job are worth having room for at once. */
+export function worthHaving(job: JobRecord, waiting: number, wall: number): number {
+  const { s } = job;
+  if (s.shape !== 'array' || s.due_s === null || s.expect_s <= 0) return waiting;
+  const left = (job.at + s.due_s * 1000 - wall) / 1000;
+  // Late already: as wide as it goes. Otherwise as wide as it takes, with half as much again in reserve.
+  const rounds = Math.floor(left / (s.expect_s * 1.5));
+  return rounds < 1 ? waiting : Math.min(waiting, Math.ceil(waiting / rounds));
+}
+
+/** Offers to take up so that what waits can run, beyond what the given places (booting ones too) hold. */
+export function wantedRentals(
+  snapshot: Snapshot,
+  flavors: ReadonlyMap<string, Flavor>,
+  refused: ReadonlySet<string>,
+  most: number,
+): Offer[] {
+  const placed = new Map(plan(snapshot).map(({ uid, boxes }) => [uid, boxes.length]));
+  const offers: Offer[] = [];
+  const extra: Place[] = [];
+  const jobs = [...snapshot.jobs].sort(
+    (a, b) => RANKS.indexOf(a.job.s.rank) - RANKS.indexOf(b.job.s.rank) || a.job.at - b.job.at,
+  );
+  for (const { uid, job } of jobs) {
+    const waiting = waitingCount(job);
+    if (waiting === 0) continue;
+    const spec = job.s;
+    let lacking = worthHaving(job, waiting, snapshot.wall) - (placed.get(uid) ?? 0);
+    const limits = snapshot.teams.get(spec.owner);
+    const used = snapshot.used.get(spec.owner) ?? { cpus: 0, cards: 0 };
+    if (!limits) continue;
+    if (spec.cpus > 0)
+      lacking = Math.min(lacking, Math.floor((limits.cpusMax - used.cpus) / spec.cpus + 1e-6));
+    if (spec.cards > 0)
+      lacking = Math.min(lacking, Math.floor((limits.cardsMax - used.cards) / spec.cards + 1e-6));
+    const zones = new Map<string, number>();
+    for (const box of Object.keys(job.r)) {
+      const site = snapshot.siteOf(box);
+      zones.set(site, (zones.get(site) ?? 0) + (job.r[box]?.length ?? 0) / 2);
+    }
+    while (lacking > 0) {
+      const mostHere = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+      const open = (place: Offer): boolean =>
+        allowed(spec, place) && (zones.get(place.site) ?? 0) < mostHere;
+      let place = extra.find((candidate) => open(candidate) && fits(spec, candidate.free));
+      if (!place) {
+        if (offers.length >= most) return offers;
+        const offer = cheapest(spec, lacking, flavors, refused, offers, open, zones);
+        if (!offer) break;
+        const flavor = flavors.get(offer.flavor);
+        if (!flavor) break;
+        const size = { cpus: flavor.cpus, cards: flavor.cards, memory_gb: flavor.memory_gb };
+        place = { id: '', ...offer, size, free: { ...size }, images: new Set() };
+        extra.push(place);
+        offers.push(offer);
+      }
+      take(spec, place.free);
+      used.cpus += spec.cpus;
+      used.cards += spec.cards;
+      zones.set(place.site, (zones.get(place.site) ?? 0) + 1);
+      lacking--;
+    }
+    snapshot.used.set(spec.owner, used);
+  }
+  return offers;
+}
+
+export function holds(spec: JobSpec, flavor: Flavor): number {
+  const per = (have: number, need: number): number => (need > 0 ? have / need : Infinity);
+  return Math.floor(
+    Math.min(
+      per(flavor.cpus, spec.cpus),
+      per(flavor.cards, spec.cards),
+      per(flavor.memory_gb, spec.memory_gb),
+    ) + 1e-6,
+  );
+}
+
+function cheapest(
+  spec: JobSpec,
+  lacking: number,
+  flavors: ReadonlyMap<string, Flavor>,
+  refused: ReadonlySet<string>,
+  taken: Offer[],
+  open: (offer: Offer) => boolean,
+  zones: ReadonlyMap<string, number>,
+): Offer | null {
+  let best: { offer: Offer; key: number[] } | null = null;
+  for (const flavor of flavors.values()) {
+    const count = Math.min(holds(spec, flavor), lacking);
+    if (count < 1) continue;
+    for (const site of flavor.sites)
+      for (const reclaimable of spec.reclaimable ? [true, false] : [false]) {
+        const offer = { flavor: flavor.sku, site, reclaimable };
+        if (refused.has(offerKey(offer)) || !open(offer)) continue;
+        const price = reclaimable ? (flavor.low_price ?? flavor.rate) : flavor.rate;
+        const here = taken.filter((other) => other.site === site).length;
+        const key = [spec.spread ? (zones.get(site) ?? 0) : 0, price / count, here];
+        if (
+          !best ||
+          key.some(
+            (value, at) =>
+              value < (best?.key[at] ?? 0) && key.slice(0, at).every((v, i) => v === best?.key[i]),
+          )
+        )
+          best = { offer, key };
+      }
+  }
+  return best?.offer ?? null;
+}
+
+/**
+ * Idle machines that can go: the dearest first, as long as enough room stays free for what comes next.
+ */
+export function surplus(
+  idle: Place[],
+  freeCpus: number,
+  usedCpus: number,
+  rate: (place: Place) => number,
+): Place[] {
+  const reserve = usedCpus / 4;
+  const out: Place[] = [];
+  let free = freeCpus;
+  for (const place of [...idle].sort((a, b) => rate(b) - rate(a))) {
+    const cpuOnly = place.size.cards === 0;
+    if (cpuOnly && free - place.size.cpus < reserve) continue;
+    if (cpuOnly) free -= place.size.cpus;
+    out.push(place);
+  }
+  return out;
+}
--- /dev/null
+++ b/src/fleet/renter.ts
@@ -0,0 +1,419 @@
+import type { Clock } from '../clock.js';
+import type { CloudClient, Flavor, Rental } from '../cloud/client.js';
+import type { Keeper } from '../domain/keeper.js';
+import { compare } from '../domain/dealing.js';
+import type { Log } from '../log.js';
+import { placeOf, snapshotOf } from '../placement/snapshot.js';
+import type { Placer } from '../placement/placer.js';
+import type { Place, TeamShare } from '../placement/plan.js';
+import type { Budget } from '../store/budget.js';
+import type { Change, Guard } from '../store/client.js';
+import type { Proposal, Source } from '../store/decider.js';
+import {
+  asBody,
+  keys,
+  type BoxRecord,
+  type FleetRecord,
+  type RentalClaim,
+} from '../store/records.js';
+import type { State } from '../store/state.js';
+import { NoAnswer } from '../wire/client.js';
+import type { Steward } from '../workers/steward.js';
+import { offerKey, surplus, wantedRentals } from './plan.js';
+
+export interface RenterFigures {
+  self: string;
+  rent: boolean;
+  idleBoots: number;
+  listLagMs: number;
+  leaseMs: number;
+  txnOps: number;
+}
+
+/** Boots that take this many times the usual are given up. */
+const LATE_BOOTS = 4;
+/** A refused offer is asked for again after this many list lags. */
+const REFUSED_LAGS = 2;
+
+/** Rents and returns machines. Renting is one controller's duty at a time; each owner returns its own. */
+export class Renter {
+  flavors: ReadonlyMap<string, Flavor> = new Map();
+  private flavorsAt = -Infinity;
+  private listedAt = -Infinity;
+  private readonly refused = new Map<string, number>();
+  private readonly asking = new Set<string>();
+  private readonly answered = new Map<string, string[] | null>();
+  private readonly deleting = new Set<string>();
+  private readonly gone = new Map<string, number>();
+  private readonly idleSince = new Map<string, number>();
+  private listed = new Map<string, Rental>();
+  private readonly unseen = new Map<string, number>();
+  private wanted: RentalClaim[] = [];
+  private marks = new Map<string, string>();
+  private newcomers = new Map<string, BoxRecord>();
+
+  constructor(
+    private readonly figures: RenterFigures,
+    private readonly cloud: CloudClient,
+    private readonly state: State,
+    private readonly keeper: Keeper,
+    private readonly steward: Steward,
+    private readonly placer: Placer,
+    private readonly teams: Map<string, TeamShare>,
+    private readonly budget: Budget,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly wake: () => void,
+  ) {}
+
+  sources(): Source[] {
+    return [
+      { name: 'duty', propose: () => this.proposeDuty() },
+      { name: 'rented', propose: () => this.proposeRented() },
+      { name: 'forget machine', propose: () => this.proposeForget() },
+      { name: 'mark machine', propose: () => this.proposeMark() },
+      { name: 'rent', propose: () => this.proposeRent() },
+    ];
+  }
+
+  /** One look at what is wanted and what is; called about once a second. */
+  async tick(): Promise<void> {
+    await this.refreshFlavors();
+    if (!this.keeper.registered) return;
+    if (this.onDuty()) {
+      await this.refreshList();
+      this.ask();
+      this.watchBoots();
+      this.planRentals();
+    }
+    this.markOwn();
+    this.giveBack();
+    this.wake();
+  }
+
+  private async refreshFlavors(): Promise<void> {
+    const now = this.clock.now();
+    const every = this.figures.listLagMs * (this.flavors.size === 0 ? 0.1 : 5);
+    if (now - this.flavorsAt < every || this.budget.waitMs(1) > 0) return;
+    this.flavorsAt = now;
+    this.budget.take(1);
+    await this.quietly('machine types', async () => {
+      this.flavors = await this.cloud.flavors();
+      this.placer.touch();
+    });
+  }
+
+  private onDuty(): boolean {
+    const { fleet } = this.state;
+    return fleet?.holder === this.figures.self && fleet.inc === this.keeper.incarnation;
+  }
+
+  private proposeDuty(): Proposal | null {
+    const { fleet } = this.state;
+    if (!this.keeper.registered || this.onDuty()) return null;
+    // A holder that restarted takes the duty again itself; one that is gone leaves it to the first.
+    if (fleet && fleet.holder !== this.figures.self) {
+      if (this.state.live.has(fleet.holder)) return null;
+      const first = [...this.state.live.keys()].sort(compare)[0];
+      if (first !== this.figures.self) return null;
+    }
+    const next: FleetRecord = {
+      holder: this.figures.self,
+      inc: this.keeper.incarnation,
+      seq: fleet?.seq ?? 0,
+      claims: fleet?.claims ?? [],
+    };
+    return {
+      txn: {
+        guards: [this.keeper.guard(), this.guardOn(keys.fleet)],
+        apply: [{ put: keys.fleet, value: asBody(next) }],
+      },
+      settled: (outcome) => {
+        if (outcome.kind === 'done')
+          this.log.info({ claims: next.claims.length }, 'on renting duty');
+      },
+    };
+  }
+
+  private planRentals(): void {
+    const { fleet } = this.state;
+    if (!this.figures.rent || !fleet || fleet.claims.length > 0 || this.flavors.size === 0) return;
+    const now = this.clock.now();
+    for (const [key, until] of this.refused) if (until <= now) this.refused.delete(key);
+    const places: Place[] = [];
+    for (const [id, box] of this.state.boxes) {
+      const flavor = this.flavors.get(box.flavor);
+      const free = this.placer.placeFor(id, box);
+      if (free) places.push(free);
+      // Not up yet: room that is on its way.
+      else if (flavor && !this.state.ownerOf(id) && box.going === undefined)
+        places.push(placeOf(id, box, flavor, this.state, new Map()));
+    }
+    const snapshot = snapshotOf(this.state, this.teams, places, this.clock.wall());
+    const most = this.figures.txnOps - 2;
+    const offers = wantedRentals(snapshot, this.flavors, new Set(this.refused.keys()), most);
+    const counts = new Map<string, RentalClaim>();
+    for (const offer of offers) {
+      const known = counts.get(offerKey(offer));
+      if (known) known.count++;
+      else counts.set(offerKey(offer), { claim: '', ...offer, count: 1 });
+    }
+    this.wanted = [...counts.values()];
+  }
+
+  /** The claim's name is recorded before it is sent, and never used again. */
+  private proposeRent(): Proposal | null {
+    const { fleet } = this.state;
+    if (this.wanted.length === 0 || !fleet || !this.onDuty() || fleet.claims.length > 0)
+      return null;
+    const claims = this.wanted.map((claim, at) => ({
+      ...claim,
+      claim: `r-${String(fleet.seq + 1 + at)}`,
+    }));
+    this.wanted = [];
+    const next: FleetRecord = { ...fleet, seq: fleet.seq + claims.length, claims };
+    return {
+      txn: {
+        guards: [this.keeper.guard(), this.guardOn(keys.fleet)],
+        apply: [{ put: keys.fleet, value: asBody(next) }],
+      },
+      settled: (outcome) => {
+        if (outcome.kind === 'done') this.ask();
+      },
+    };
+  }
+
+  /** Sends recorded claims until each has an answer. */
+  private ask(): void {
+    if (!this.onDuty()) return;
+    for (const claim of this.state.fleet?.claims ?? []) {
+      if (this.asking.has(claim.claim) || this.answered.has(claim.claim)) continue;
+      this.asking.add(claim.claim);
+      this.budget.take(1);
+      void this.quietly('rent', async () => {
+        const boxes = await this.cloud.rent(claim);
+        this.log.info({ ...claim, got: boxes?.length ?? 0 }, 'rental answered');
+        if (!boxes || boxes.length < claim.count)
+          this.refused.set(
+            offerKey(claim),
+            this.clock.now() + this.figures.listLagMs * REFUSED_LAGS,
+          );
+        this.answered.set(claim.claim, boxes);
+        this.wake();
+      }).finally(() => this.asking.delete(claim.claim));
+    }
+  }
+
+  private proposeRented(): Proposal | null {
+    const { fleet } = this.state;
+    if (!fleet || !this.onDuty()) return null;
+    const claim = fleet.claims.find((one) => this.answered.has(one.claim));
+    if (!claim) return null;
+    const fresh = (this.answered.get(claim.claim) ?? []).filter((id) => !this.state.boxes.has(id));
+    const next: FleetRecord = { ...fleet, claims: fleet.claims.filter((one) => one !== claim) };
+    const guards: Guard[] = [this.keeper.guard(), this.guardOn(keys.fleet)];
+    const apply: Change[] = [{ put: keys.fleet, value: asBody(next) }];
+    for (const id of fresh.slice(0, this.figures.txnOps - 1)) {
+      const { flavor, site, reclaimable } = claim;
+      const box: BoxRecord = { address: '', flavor, site, reclaimable, at: this.clock.wall() };
+      guards.push({ key: keys.box(id), stamp: 0 });
+      apply.push({ put: keys.box(id), value: asBody(box) });
+    }
+    return {
+      txn: { guards, apply },
+      settled: (outcome) => {
+        if (outcome.kind === 'done') this.answered.delete(claim.claim);
+      },
+    };
+  }
+
+  private async refreshList(): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.listedAt < this.figures.listLagMs / 2 || this.budget.waitMs(1) > 0) return;
+    this.listedAt = now;
+    this.budget.take(1);
+    await this.quietly('machine list', async () => {
+      this.listed = new Map((await this.cloud.rentals()).map((rental) => [rental.uid, rental]));
+      this.compareList();
+    });
+  }
+
+  /** The list lags, so it proves nothing; it shows what to look after. */
+  private compareList(): void {
+    const now = this.clock.now();
+    const long = this.figures.listLagMs * 3;
+    for (const rental of this.listed.values()) {
+      const known = this.state.boxes.get(rental.uid);
+      if (rental.phase === 'failed') {
+        if (known) this.mark(rental.uid, 'failed');
+        else if (!this.gone.has(rental.uid)) this.adopt(rental, 'failed');
+      } else if (!known && rental.held_s * 1000 > long && !this.gone.has(rental.uid)) {
+        // Rented by a request that was carried out late, or by a controller that died over it.
+        this.adopt(rental, undefined);
+      }
+    }
+    for (const [id, box] of this.state.boxes) {
+      const present = this.listed.has(id) || this.clock.wall() - box.at < long;
+      if (present) this.unseen.delete(id);
+      else if (!this.unseen.has(id)) this.unseen.set(id, now);
+      const missing = now - (this.unseen.get(id) ?? now) > this.figures.listLagMs * 2;
+      if (missing && (box.hold === 'silent' || !this.state.ownerOf(id))) this.mark(id, 'lost');
+    }
+    for (const [id, at] of this.gone) if (now - at > long * 2) this.gone.delete(id);
+  }
+
+  private adopt(rental: Rental, going: string | undefined): void {
+    const { address, flavor, site, reclaimable } = rental;
+    const at = this.clock.wall() - rental.held_s * 1000;
+    const box: BoxRecord = { address: '', flavor, site, reclaimable, at };
+    if (going !== undefined) box.going = going;
+    this.log.info({ box: rental.uid, phase: rental.phase, address }, 'machine without a record');
+    this.newcomers.set(rental.uid, box);
+  }
+
+  private watchBoots(): void {
+    const wall = this.clock.wall();
+    for (const [id, box] of this.state.boxes) {
+      if (this.state.ownerOf(id) || box.going !== undefined) continue;
+      const ready = (this.flavors.get(box.flavor)?.ready_s ?? 60) * 1000;
+      if (wall - box.at > ready * LATE_BOOTS) this.mark(id, 'never came up');
+    }
+    this.findIdle();
+  }
+
+  private findIdle(): void {
+    const now = this.clock.now();
+    const idle: Place[] = [];
+    let free = 0;
+    let used = 0;
+    for (const [id, box] of this.state.boxes) {
+      const place = this.placer.placeFor(id, box);
+      const busy = this.state.onBox.has(id);
+      if (!place || busy) this.idleSince.delete(id);
+      else if (!this.idleSince.has(id)) this.idleSince.set(id, now);
+      if (!place) continue;
+      if (place.size.cards === 0) free += place.free.cpus;
+      used += place.size.cpus - place.free.cpus;
+      const ready = (this.flavors.get(box.flavor)?.ready_s ?? 60) * 1000;
+      const since = this.idleSince.get(id) ?? now;
+      if (!busy && now - since > ready * this.figures.idleBoots) idle.push(place);
+    }
+    if (!this.figures.rent) return;
+    const rate = (place: Place): number => {
+      const flavor = this.flavors.get(place.flavor);
+      return (place.reclaimable ? flavor?.low_price : flavor?.rate) ?? 0;
+    };
+    for (const place of surplus(idle, free, used, rate)) this.mark(place.id, 'idle');
+  }
+
+  private markOwn(): void {
+    const now = this.clock.now();
+    for (const id of Object.keys(this.keeper.own().m)) {
+      const box = this.state.boxes.get(id);
+      const machine = this.steward.machine(id);
+      if (!box || !machine || box.going !== undefined) continue;
+      if (box.hold === 'sick') this.mark(id, 'sick');
+      const silence = now - machine.heardAt;
+      // Announced, then silent: taken back. A silent one without notice may only be cut off.
+      if (machine.warned && box.hold === 'silent') this.mark(id, 'taken');
+      else if (machine.lapsed && silence > this.figures.leaseMs * 4) this.mark(id, 'silent');
+    }
+  }
+
+  private mark(id: string, why: string): void {
+    if (this.state.boxes.get(id)?.going === undefined) this.marks.set(id, why);
+  }
+
+  private proposeMark(): Proposal | null {
+    for (const [id, box] of this.newcomers) {
+      this.newcomers.delete(id);
+      if (this.state.boxes.has(id)) continue;
+      return {
+        txn: {
+          guards: [this.keeper.guard(), { key: keys.box(id), stamp: 0 }],
+          apply: [{ put: keys.box(id), value: asBody(box) }],
+        },
+      };
+    }
+    for (const [id, why] of this.marks) {
+      this.marks.delete(id);
+      const box = this.state.boxes.get(id);
+      if (!box || box.going !== undefined) continue;
+      if (why === 'idle' && this.state.onBox.has(id)) continue;
+      return {
+        txn: {
+          guards: [this.keeper.guard(), this.guardOn(keys.box(id))],
+          apply: [{ put: keys.box(id), value: asBody({ ...box, going: why }) }],
+        },
+        settled: (outcome) => {
+          if (outcome.kind === 'done') this.log.info({ box: id, why }, 'machine is to go');
+          this.giveBack();
+        },
+      };
+    }
+    return null;
+  }
+
+  /** Deletes machines that are to go: own ones, and on duty also those that nobody owns. */
+  private giveBack(): void {
+    const due: string[] = [];
+    for (const [id, box] of this.state.boxes) {
+      if (box.going === undefined || this.deleting.has(id) || this.gone.has(id)) continue;
+      const owner = this.state.ownerOf(id);
+      if (owner ? this.keeper.termFor(id) === null : !this.onDuty()) continue;
+      // Given back for being idle, it may have been given work just before: that ends first.
+      if (box.going === 'idle' && this.state.onBox.has(id)) continue;
+      if (due.length < 100) due.push(id);
+    }
+    if (due.length === 0 || this.budget.waitMs(1) > 0) return;
+    this.budget.take(1);
+    for (const id of due) this.deleting.add(id);
+    void this.quietly('give back', async () => {
+      await this.cloud.giveBack(due);
+      for (const id of due) {
+        this.gone.set(id, this.clock.now());
+        // The strongest proof there is: the machine and everything on it are gone.
+        if (this.keeper.termFor(id) !== null) this.steward.clear(id, 'back');
+      }
+      this.log.info({ boxes: due }, 'machines given back');
+      this.wake();
+    }).finally(() => {
+      for (const id of due) this.deleting.delete(id);
+    });
+  }
+
+  private proposeForget(): Proposal | null {
+    for (const id of this.gone.keys()) {
+      const box = this.state.boxes.get(id);
+      if (!box) continue;
+      const owner = this.state.ownerOf(id);
+      if (owner && this.keeper.termFor(id) === null) continue;
+      if (this.state.onBox.has(id)) {
+        this.steward.clear(id, 'back');
+        continue;
+      }
+      const guards = [this.keeper.guard(), this.guardOn(keys.box(id))];
+      const apply: Change[] = [{ delete: keys.box(id) }];
+      if (owner) {
+        const own = this.keeper.own();
+        const m = Object.fromEntries(Object.entries(own.m).filter(([other]) => other !== id));
+        apply.push({ put: keys.domain(this.figures.self), value: asBody({ inc: own.inc, m }) });
+      }
+      return { txn: { guards, apply } };
+    }
+    return null;
+  }
+
+  private async quietly(what: string, work: () => Promise<void>): Promise<void> {
+    try {
+      await work();
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      this.log.info({ err: error.message }, `cloud: no answer: ${what}`);
+    }
+  }
+
+  private guardOn(key: string): Guard {
+    return { key, stamp: this.state.stampOf(key) };
+  }
+}
--- /dev/null
+++ b/src/serve.ts
@@ -0,0 +1,39 @@
+import { createServer } from 'node:net';
+import { Controller } from './controller.js';
+import { systemClock } from './clock.js';
+import type { Operator } from './config/operator.js';
+import type { Settings } from './config/settings.js';
+import { makeLog } from './log.js';
+import { httpCaller } from './wire/client.js';
+import { makeServer } from './wire/server.js';
+
+/** Starts one controller on the real network and keeps it running. */
+export async function serve(settings: Settings, operator: Operator): Promise<void> {
+  const log = makeLog(settings.host_name);
+  const { max_sockets } = settings.settings.quota;
+  const controller = new Controller(settings, operator, {
+    clock: systemClock,
+    log,
+    store: httpCaller(settings.external.state, 8),
+    storeWatch: httpCaller(settings.external.state, 2),
+    cloud: httpCaller(settings.external.cloud, 4),
+    worker: (address) => httpCaller(address, 2),
+  });
+  const server = makeServer(controller.routes, {
+    // The rest is for the links to workers, peers, cloud and state service.
+    maxSockets: Math.floor(max_sockets * 0.6),
+    requestMs: 5000,
+    onError: (error) => {
+      log.error({ err: String(error) }, 'request failed');
+    },
+  });
+  const listen = (target: ReturnType<typeof createServer>, address: string): Promise<void> =>
+    new Promise((resolve, reject) => {
+      const [host, port] = address.split(':');
+      target.once('error', reject);
+      target.listen(Number(port), host, resolve);
+    });
+  await listen(server, settings.serve_on);
+  log.info({ serve_on: settings.serve_on }, 'listening');
+  await controller.start();
+}
--- /dev/null
+++ b/src/store/replica.ts
@@ -0,0 +1,87 @@
+import type { Change, Changes, Item } from './client.js';
+import type { Body } from '../wire/codec.js';
+
+export interface Entry {
+  value: Body;
+  stamp: number;
+}
+
+type Listener = (key: string, value: Body | null) => void;
+
+/**
+ * This process's copy of the state service under one prefix. It holds everything up to `generation`,
+ * plus own commits that the watch has yet to bring.
+ */
+export class Replica {
+  generation = 0;
+  /** Steady time at which the store last proved that nothing after `generation` was missing. */
+  freshAt = -Infinity;
+  private readonly entries = new Map<string, Entry>();
+  /** Own deletions ahead of `generation`, so that an older put cannot bring the key back. */
+  private readonly removed = new Map<string, number>();
+
+  constructor(private readonly onChange: Listener) {}
+
+  get(key: string): Entry | undefined {
+    return this.entries.get(key);
+  }
+
+  stampOf(key: string): number {
+    return this.entries.get(key)?.stamp ?? 0;
+  }
+
+  keys(): Iterable<string> {
+    return this.entries.keys();
+  }
+
+  /** Starts over from a full reading. */
+  load(items: Item[], generation: number, asOf: number): void {
+    const seen = new Set(items.map((item) => item.key));
+    for (const key of [...this.entries.keys()]) if (!seen.has(key)) this.drop(key);
+    for (const item of items) this.set(item.key, item.value, item.stamp);
+    this.generation = generation;
+    this.freshAt = asOf;
+    this.removed.clear();
+  }
+
+  /** `asOf` is when the request left: what the answer says was true no earlier than that. */
+  follow(changes: Changes, asOf: number): void {
+    for (const event of changes.events) {
+      if (event.stamp <= this.generation) continue;
+      if ('delete' in event) {
+        if (this.stampOf(event.delete) <= event.stamp) this.drop(event.delete);
+      } else if (
+        this.stampOf(event.put) < event.stamp &&
+        (this.removed.get(event.put) ?? 0) < event.stamp
+      ) {
+        this.set(event.put, event.value, event.stamp);
+      }
+    }
+    this.generation = Math.max(this.generation, changes.generation);
+    this.freshAt = Math.max(this.freshAt, asOf);
+    for (const [key, stamp] of this.removed) if (stamp <= this.generation) this.removed.delete(key);
+  }
+
+  /** An own commit that the store has confirmed. */
+  applied(apply: Change[], generation: number): void {
+    if (generation <= this.generation) return;
+    for (const change of apply) {
+      if ('delete' in change) {
+        if (this.stampOf(change.delete) > generation) continue;
+        this.removed.set(change.delete, generation);
+        this.drop(change.delete);
+      } else if (this.stampOf(change.put) < generation) {
+        this.set(change.put, change.value, generation);
+      }
+    }
+  }
+
+  private set(key: string, value: Body, stamp: number): void {
+    this.entries.set(key, { value, stamp });
+    this.onChange(key, value);
+  }
+
+  private drop(key: string): void {
+    if (this.entries.delete(key)) this.onChange(key, null);
+  }
+}
--- /dev/null
+++ b/src/workers/steward.ts
@@ -0,0 +1,508 @@
+import { within, type Clock } from '../clock.js';
+import type { Keeper } from '../domain/keeper.js';
+import { conclude, staysOn, type End, type Stay } from '../jobs/life.js';
+import type { Log } from '../log.js';
+import type { Change, Guard } from '../store/client.js';
+import type { Proposal, Source } from '../store/decider.js';
+import { asBody, keys, type BoxRecord, type Hold, type JobRecord } from '../store/records.js';
+import type { State } from '../store/state.js';
+import type { Caller } from '../wire/client.js';
+import { NoAnswer } from '../wire/client.js';
+import type { Body } from '../wire/codec.js';
+import type { Reply } from '../wire/server.js';
+import { difference, indexTasks, type Order } from './orders.js';
+import { parseReport, splitTask, type Report, type TaskReport } from './report.js';
+
+export interface StewardFigures {
+  self: string;
+  reportMs: number;
+  leaseMs: number;
+  cancelMs: number;
+  txnOps: number;
+  valueBytes: number;
+  /** How long a request to a worker may take. */
+  callMs: number;
+}
+
+/** What this controller knows of one machine of its domain. */
+export interface Machine {
+  id: string;
+  term: number;
+  /** When this process became its owner under this term. */
+  since: number;
+  /** Generation of the store in which it did. */
+  asOf: number;
+  tenure: number;
+  tick: number;
+  tasks: Map<string, TaskReport>;
+  /** The worker has shown this term, so no command of a lower one can be executed any more. */
+  fenced: boolean;
+  /** Last sign of life, or last answer that may have renewed its lease. */
+  heardAt: number;
+  warned: boolean;
+  calling: boolean;
+  again: boolean;
+  /** A request with launches got no answer; it may be executed as long as term and tenure match. */
+  doubt: { term: number; tenure: number } | null;
+  /** Its lease has run out for certain since it was last heard. */
+  lapsed: boolean;
+  /** Failures since the last success there, by job. */
+  errors: Set<string>;
+  failedCalls: number;
+  retryAt: number;
+}
+
+const MAX_ORDERS = 200;
+/** Clocks drift by up to 0.05% each; a lease is taken as over only after this much more. */
+const DRIFT = 1.002;
+
+/** Takes the workers' reports, and makes the machines of the own domain do what is recorded. */
+export class Steward {
+  private readonly machines = new Map<string, Machine>();
+  private readonly callers = new Map<string, Caller>();
+  private readonly endings = new Map<string, { stay: Stay; end: End }[]>();
+
+  constructor(
+    private readonly figures: StewardFigures,
+    private readonly state: State,
+    private readonly keeper: Keeper,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly callerFor: (address: string) => Caller,
+    private readonly wake: () => void,
+  ) {}
+
+  /** A machine that may be given work: seen under the present term, alive, and nothing in doubt. */
+  usable(id: string): boolean {
+    const machine = this.machines.get(id);
+    return (
+      machine !== undefined &&
+      machine.term === this.keeper.termFor(id) &&
+      machine.fenced &&
+      !machine.lapsed &&
+      machine.doubt === null &&
+      !machine.warned &&
+      this.clock.now() - machine.heardAt < this.figures.reportMs * 2.5
+    );
+  }
+
+  machine(id: string): Machine | undefined {
+    return this.machines.get(id);
+  }
+
+  async checkin(body: Body): Promise<Reply> {
+    const report = parseReport(body);
+    if (!report) return { status: 400, body: { error: 'not a report' } };
+    const term = await this.entitled(report);
+    if (typeof term !== 'number') return term;
+    const machine = this.own(report.box, term);
+    this.hear(machine, report);
+    // The difference counts this answer as an answer even if it gets lost: it may renew the lease.
+    machine.heardAt = this.clock.now();
+    // Launches go by /commands only, where every one of them has a known outcome or a fence.
+    const orders = this.ordersFor(machine).filter((order) => order.verb !== 'launch');
+    if (this.hasLaunches(machine)) this.kick(machine);
+    return { status: 200, body: { epoch: term, orders } };
+  }
+
+  /** Whether this process may answer for the machine; if not, the reply that says so. */
+  private async entitled(report: Report): Promise<number | Reply> {
+    const refuse: Reply = { status: 503, body: { error: 'not settled' } };
+    if (!this.keeper.registered || !this.knowsCancellations()) return refuse;
+    let owner = this.state.ownerOf(report.box);
+    if (!owner) {
+      const { box, address, flavor, site, reclaimable } = report;
+      this.keeper.want(box, { address, flavor, site, reclaimable, at: this.clock.wall() });
+      await within(this.clock, this.figures.reportMs, this.untilOwned(box), undefined);
+      owner = this.state.ownerOf(box);
+    }
+    if (owner && owner.host !== this.figures.self)
+      return this.state.live.has(owner.host)
+        ? { status: 421, body: { steward: owner.host } }
+        : refuse;
+    const term = this.keeper.termFor(report.box);
+    if (term === null) return refuse;
+    // The worker has seen a higher term: somebody else owns it by now. It would drop a 200 from here,
+    // and stay with this node while its lease runs out.
+    if (report.epoch > term) return { status: 421, body: {} };
+    return term;
+  }
+
+  /**
+   * A controller that no longer hears of cancellations must stop keeping tasks alive early enough that
+   * their leases end within the time that a cancellation has.
+   */
+  private knowsCancellations(): boolean {
+    const age = this.clock.now() - this.state.replica.freshAt;
+    return age < (this.figures.cancelMs - this.figures.leaseMs * DRIFT) * 0.85;
+  }
+
+  private readonly ownedWaiters = new Map<string, (() => void)[]>();
+
+  private untilOwned(box: string): Promise<void> {
+    return new Promise((resolve) => {
+      const list = this.ownedWaiters.get(box);
+      if (list) list.push(resolve);
+      else this.ownedWaiters.set(box, [resolve]);
+    });
+  }
+
+  /** Called when domain records have changed. */
+  domainsChanged(): void {
+    for (const [box, waiters] of this.ownedWaiters) {
+      if (!this.state.ownerOf(box)) continue;
+      this.ownedWaiters.delete(box);
+      for (const resolve of waiters) resolve();
+    }
+    for (const id of this.machines.keys())
+      if (this.keeper.termFor(id) === null) {
+        this.machines.delete(id);
+        this.callers.delete(id);
+      }
+    if (!this.keeper.registered) return;
+    for (const id of Object.keys(this.keeper.own().m)) {
+      const term = this.keeper.termFor(id);
+      if (term === null) continue;
+      const known = this.machines.get(id);
+      if (known?.term === term) continue;
+      // Phase 2 of the paper: all machines taken over are asked at once, under the raised term.
+      this.kick(this.own(id, term));
+    }
+  }
+
+  /** Called when the tasks recorded for a machine may have changed. */
+  jobChanged(uid: string): void {
+    const job = this.state.jobs.get(uid);
+    if (!job) return;
+    for (const box of Object.keys(job.r)) {
+      const machine = this.machines.get(box);
+      if (machine) this.kick(machine);
+    }
+  }
+
+  private own(id: string, term: number): Machine {
+    let machine = this.machines.get(id);
+    if (!machine) {
+      const now = this.clock.now();
+      machine = {
+        id,
+        term,
+        since: now,
+        asOf: this.state.stampOf(keys.domain(this.figures.self)),
+        tenure: 0,
+        tick: 0,
+        tasks: new Map(),
+        fenced: false,
+        heardAt: now,
+        warned: false,
+        calling: false,
+        again: false,
+        doubt: null,
+        lapsed: false,
+        errors: new Set(),
+        failedCalls: 0,
+        retryAt: 0,
+      };
+      this.machines.set(id, machine);
+    } else if (machine.term !== term) {
+      machine.term = term;
+      machine.since = this.clock.now();
+      machine.asOf = this.state.stampOf(keys.domain(this.figures.self));
+      machine.fenced = false;
+    }
+    return machine;
+  }
+
+  private hear(machine: Machine, report: Report): void {
+    if (
+      report.tenure < machine.tenure ||
+      (report.tenure === machine.tenure && report.tick <= machine.tick)
+    )
+      return; // Older than what is known: it was held up on the way.
+    machine.tenure = report.tenure;
+    machine.tick = report.tick;
+    machine.tasks = indexTasks(report.tasks);
+    machine.heardAt = this.clock.now();
+    machine.lapsed = false;
+    machine.failedCalls = 0;
+    machine.warned = typeof report.warning_s === 'number';
+    if (report.epoch === machine.term) machine.fenced = true;
+    else if (report.epoch < machine.term) machine.fenced = false;
+    const doubt = machine.doubt;
+    if (doubt && (report.epoch > doubt.term || report.tenure > doubt.tenure)) machine.doubt = null;
+    this.compare(machine);
+  }
+
+  /** Notes what the picture proves; returns the orders that would close the difference. */
+  private compare(machine: Machine): Order[] {
+    if (!machine.fenced || machine.lapsed || machine.term !== this.keeper.termFor(machine.id))
+      return [];
+    // The replica may still miss what the former owner recorded before it lost the machine.
+    if (this.state.replica.generation < machine.asOf) return [];
+    const jobs: [string, JobRecord][] = [];
+    for (const uid of this.state.onBox.get(machine.id) ?? []) {
+      const job = this.state.jobs.get(uid);
+      if (job) jobs.push([uid, job]);
+    }
+    const { orders, endings } = difference(machine.id, machine.tasks, jobs);
+    for (const [uid, list] of endings) {
+      for (const ending of list) {
+        const shown = machine.tasks.has(
+          `${uid}/${String(ending.stay.task)}#${String(ending.stay.attempt)}`,
+        );
+        // Absence proves nothing while a launch may still be executed.
+        if (!shown && (machine.doubt || machine.calling)) continue;
+        this.end(uid, ending.stay, ending.end);
+        if (ending.end === 'error') machine.errors.add(uid);
+        if (ending.end === 'done') machine.errors.clear();
+      }
+    }
+    // A stay that is proved over must not begin again before that is committed: the commit would free
+    // the task for another machine while it runs here.
+    return orders.filter((order) => order.verb !== 'launch' || !this.ending(machine.id, order));
+  }
+
+  private ending(box: string, order: Order): boolean {
+    const { uid, task } = splitTask(order.task);
+    return (this.endings.get(uid) ?? []).some(
+      ({ stay }) => stay.box === box && stay.task === task && stay.attempt === order.try,
+    );
+  }
+
+  private ordersFor(machine: Machine): Order[] {
+    return this.compare(machine).slice(0, MAX_ORDERS);
+  }
+
+  private hasLaunches(machine: Machine): boolean {
+    return this.compare(machine).some((order) => order.verb === 'launch');
+  }
+
+  private end(uid: string, stay: Stay, end: End): void {
+    const list = this.endings.get(uid) ?? [];
+    const same = list.some(
+      (known) =>
+        known.stay.box === stay.box &&
+        known.stay.task === stay.task &&
+        known.stay.attempt === stay.attempt,
+    );
+    if (!same) list.push({ stay, end });
+    this.endings.set(uid, list);
+    this.wake();
+  }
+
+  /** Sends the machine its orders, one request at a time. */
+  kick(machine: Machine): void {
+    if (machine.calling) {
+      machine.again = true;
+      return;
+    }
+    if (machine.retryAt > this.clock.now()) return;
+    const address = this.state.boxes.get(machine.id)?.address;
+    if (address === undefined) return;
+    let orders: Order[] = [];
+    if (machine.fenced) {
+      orders = this.ordersFor(machine);
+      if (machine.doubt) orders = orders.filter((order) => order.verb !== 'launch');
+      if (orders.length === 0) return;
+    }
+    machine.calling = true;
+    void this.command(machine, address, orders).finally(() => {
+      machine.calling = false;
+      const again = machine.again || !machine.fenced;
+      machine.again = false;
+      // An order that changes nothing must not be sent without end.
+      const wait = machine.failedCalls > 0 ? this.figures.reportMs * machine.failedCalls : 0;
+      if (wait > 0) machine.retryAt = this.clock.now() + wait;
+      if (again && this.machines.get(machine.id) === machine)
+        this.clock.after(wait, () => {
+          this.kick(machine);
+        });
+    });
+  }
+
+  private async command(machine: Machine, address: string, orders: Order[]): Promise<void> {
+    const { term, tenure } = machine;
+    try {
+      const { status, body } = await this.callerTo(
+        machine.id,
+        address,
+      )({
+        method: 'POST',
+        path: '/commands',
+        body: { epoch: term, tenure, orders },
+        timeoutMs: this.figures.callMs,
+      });
+      const report = parseReport(body);
+      if (!report || report.box !== machine.id || (status !== 200 && status !== 409))
+        throw new NoAnswer(`commands: ${String(status)}`);
+      if (this.machines.get(machine.id) !== machine) return;
+      machine.calling = false;
+      this.hear(machine, report);
+      if (status === 409) {
+        machine.failedCalls++;
+        // The first request to a machine does not know its tenure; now it does.
+        if (report.tenure !== tenure) machine.failedCalls = 0;
+        machine.again = true;
+      }
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      this.log.debug({ box: machine.id, err: error.message }, 'no answer from worker');
+      machine.failedCalls = Math.min(4, machine.failedCalls + 1);
+      if (orders.some((order) => order.verb === 'launch')) {
+        machine.doubt = { term, tenure };
+        this.wake();
+      }
+    }
+  }
+
+  private callerTo(id: string, address: string): Caller {
+    let caller = this.callers.get(id);
+    if (!caller) this.callers.set(id, (caller = this.callerFor(address)));
+    return caller;
+  }
+
+  /** Regular look at all machines: leases that have certainly run out, and holds. */
+  tick(): void {
+    const now = this.clock.now();
+    for (const machine of this.machines.values()) {
+      const term = this.keeper.termFor(machine.id);
+      if (term !== machine.term || machine.lapsed) continue;
+      if (!machine.fenced) {
+        this.kick(machine);
+        // Nothing was heard under this term. Whoever answered this worker before stops in time for a
+        // cancellation; after that its lease is over too.
+        if (now - machine.since > this.figures.cancelMs * DRIFT + this.figures.reportMs)
+          this.lapse(machine);
+      } else if (now - machine.heardAt > this.figures.leaseMs * DRIFT + this.figures.reportMs / 4) {
+        // Only this process answers its reports under this term, and has not since: the lease is over,
+        // and any command still on its way carries a tenure that has ended.
+        this.lapse(machine);
+      } else if (machine.failedCalls > 0) this.kick(machine);
+    }
+    this.wake();
+  }
+
+  private lapse(machine: Machine): void {
+    machine.lapsed = true;
+    machine.tasks = new Map();
+    machine.doubt = null;
+    this.log.info({ box: machine.id }, 'lease of a worker has run out');
+    this.clear(machine.id, 'back');
+  }
+
+  /** Everything recorded on this machine is proved to be gone. */
+  clear(box: string, end: End): void {
+    for (const uid of this.state.onBox.get(box) ?? []) {
+      const job = this.state.jobs.get(uid);
+      if (job) for (const stay of staysOn(job, box)) this.end(uid, stay, end);
+    }
+  }
+
+  sources(): Source[] {
+    return [
+      { name: 'outcomes', propose: () => this.proposeEndings() },
+      { name: 'fence', propose: () => this.proposeFence() },
+      { name: 'holds', propose: () => this.proposeHold() },
+    ];
+  }
+
+  private proposeEndings(): Proposal | null {
+    const guards: Guard[] = [this.keeper.guard()];
+    const apply: Change[] = [];
+    const taken: string[] = [];
+    for (const [uid, list] of this.endings) {
+      const job = this.state.jobs.get(uid);
+      const valid = job
+        ? list.filter(
+            ({ stay }) =>
+              this.keeper.termFor(stay.box) !== null &&
+              staysOn(job, stay.box).some(
+                (known) => known.task === stay.task && known.attempt === stay.attempt,
+              ),
+          )
+        : [];
+      if (!job || valid.length === 0) {
+        this.endings.delete(uid);
+        continue;
+      }
+      const next = conclude(job, valid, this.clock.wall(), this.figures.reportMs);
+      guards.push({ key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) });
+      apply.push({ put: keys.job(uid), value: asBody(next) });
+      taken.push(uid);
+      if (apply.length >= this.figures.txnOps) break;
+      if (apply.length * this.figures.valueBytes > 32 * 1024) break;
+    }
+    if (apply.length === 0) return null;
+    return {
+      txn: { guards, apply },
+      settled: (outcome) => {
+        if (outcome.kind !== 'done') return;
+        const boxes = new Set<string>();
+        for (const uid of taken) {
+          for (const { stay } of this.endings.get(uid) ?? []) boxes.add(stay.box);
+          this.endings.delete(uid);
+        }
+        for (const box of boxes) {
+          const machine = this.machines.get(box);
+          if (machine && !machine.lapsed) this.kick(machine);
+        }
+      },
+    };
+  }
+
+  /** A machine with a launch in doubt gets a raised term once it is heard again; older commands are then void. */
+  private proposeFence(): Proposal | null {
+    const own = this.keeper.own();
+    const term = this.state.term + 1;
+    const doubtful = [...this.machines.values()].filter(
+      (machine) =>
+        machine.doubt?.term === machine.term &&
+        this.keeper.termFor(machine.id) === machine.term &&
+        this.clock.now() - machine.heardAt < this.figures.reportMs,
+    );
+    if (doubtful.length === 0) return null;
+    const m = { ...own.m, ...Object.fromEntries(doubtful.map((machine) => [machine.id, term])) };
+    return {
+      txn: {
+        guards: [this.keeper.guard(), { key: keys.term, stamp: this.state.stampOf(keys.term) }],
+        apply: [
+          { put: keys.domain(this.figures.self), value: asBody({ inc: own.inc, m }) },
+          { put: keys.term, value: { t: term } },
+        ],
+      },
+    };
+  }
+
+  private proposeHold(): Proposal | null {
+    for (const machine of this.machines.values()) {
+      const record = this.state.boxes.get(machine.id);
+      if (!record || this.keeper.termFor(machine.id) !== machine.term) continue;
+      const hold = this.holdOf(machine);
+      if (record.hold === hold) continue;
+      const next: BoxRecord = { ...record };
+      if (hold) next.hold = hold;
+      else delete next.hold;
+      const key = keys.box(machine.id);
+      return {
+        txn: {
+          guards: [this.keeper.guard(), { key, stamp: this.state.stampOf(key) }],
+          apply: [{ put: key, value: asBody(next) }],
+        },
+        settled: (outcome) => {
+          if (outcome.kind === 'done')
+            this.log.info({ box: machine.id, hold: hold ?? 'none' }, 'hold changed');
+        },
+      };
+    }
+    return null;
+  }
+
+  private holdOf(machine: Machine): Hold | undefined {
+    if (machine.warned) return 'warned';
+    // One job that fails may be at fault itself; several that fail one after the other point to the machine.
+    if (machine.errors.size >= 2) return 'sick';
+    const silence = this.clock.now() - machine.heardAt;
+    if (machine.lapsed || silence > this.figures.reportMs * 3) return 'silent';
+    return undefined;
+  }
+}
