--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,9 @@
   ...tseslint.configs.strict,
   {
     files: ['**/*.ts'],
-    languageOptions: { parserOptions: { projectService: true } },
+    languageOptions: {
+      parserOptions: { project: './tsconfig.test.json', tsconfigRootDir: import.meta.dirname },
+    },
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/no-misused-promises': 'error',
--- a/src/log.ts
+++ b/src/log.ts
@@ -15,5 +15,8 @@
     retryEAGAIN: () => false,
   });
   sink.on('error', () => undefined);
-  return pino({ level, base: { node: name }, timestamp: false }, sink);
+  return pino(
+    { level, base: { node: name }, formatters: { level: (label) => ({ level: label }) } },
+    sink,
+  );
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -123,7 +123,7 @@
 
   /** All changes after `since`; null when the store no longer has them. */
   async changes(under: string, since: number, blockMs: number): Promise<Changes | null> {
-    const path = `/changes?under=${encodeURIComponent(under)}&since=${String(since)}&block_ms=${String(blockMs)}`;
+    const path = `/changes?under=${encodeURIComponent(under)}&since=${String(since)}&block_ms=${String(Math.round(blockMs))}`;
     const { status, body } = await this.read({ path, blockMs });
     if (status === 410) return null;
     if (status !== 200 || !num(body['generation']) || !Array.isArray(body['log']))
@@ -143,7 +143,7 @@
     const { status, body } = await this.call({
       method: 'POST',
       path: '/leases',
-      body: { life_ms: lifeMs },
+      body: { life_ms: Math.round(lifeMs) },
       timeoutMs: this.timeoutMs,
     });
     if (status !== 200 || !num(body['lease']))
--- a/test/dealing.test.ts
+++ b/test/dealing.test.ts
@@ -22,6 +22,6 @@
 ];
 
 for (const { name, machines, heirs, want } of CASES)
-  test(`deal: ${name}`, () => {
+  void test(`deal: ${name}`, () => {
     assert.deepEqual(deal(machines, heirs), want);
   });
