--- a/src/controller.ts
+++ b/src/controller.ts
@@ -219,6 +219,7 @@
         break;
       case 'box':
         this.placer.noteBox(name);
+        this.renter.noteBox(name);
         this.placer.touch();
         break;
       case 'live':
--- a/src/fleet/renter.ts
+++ b/src/fleet/renter.ts
@@ -76,6 +76,11 @@
     ];
   }
 
+  /** A machine whose record is gone was given back; the list goes on showing it for a while. */
+  noteBox(id: string): void {
+    if (!this.state.boxes.has(id)) this.gone.set(id, this.clock.now());
+  }
+
   /** One look at what is wanted and what is; called about once a second. */
   async tick(): Promise<void> {
     await this.refreshFlavors();
--- a/src/workers/steward.ts
+++ b/src/workers/steward.ts
@@ -59,7 +59,7 @@
 /** Takes the workers' reports, and makes the machines of the own domain do what is recorded. */
 export class Steward {
   private readonly machines = new Map<string, Machine>();
-  private readonly callers = new Map<string, Caller>();
+  private readonly callers = new Map<string, { address: string; caller: Caller }>();
   private readonly endings = new Map<string, { stay: Stay; end: End }[]>();
 
   constructor(
@@ -298,7 +298,7 @@
     }
     if (machine.retryAt > this.clock.now()) return;
     const address = this.state.boxes.get(machine.id)?.address;
-    if (address === undefined) return;
+    if (address === undefined || address === '') return;
     let orders: Order[] = [];
     if (machine.fenced) {
       orders = this.ordersFor(machine);
@@ -356,8 +356,10 @@
   }
 
   private callerTo(id: string, address: string): Caller {
-    let caller = this.callers.get(id);
-    if (!caller) this.callers.set(id, (caller = this.callerFor(address)));
+    const known = this.callers.get(id);
+    if (known?.address === address) return known.caller;
+    const caller = this.callerFor(address);
+    this.callers.set(id, { address, caller });
     return caller;
   }
 
