--- a/src/controller.ts
+++ b/src/controller.ts
@@ -103,7 +103,12 @@
     );
     const flavors = () => this.renter.flavors;
     this.placer = new Placer(
-      { self, txnOps: limits.txn_ops, valueBytes },
+      {
+        self,
+        txnOps: limits.txn_ops,
+        valueBytes,
+        homes: new Set([settings.zone, ...settings.others.map((other) => other.zone)]),
+      },
       this.state,
       this.keeper,
       this.steward,
@@ -126,7 +131,6 @@
       this.keeper,
       this.steward,
       this.placer,
-      teams,
       new Budget(clock, cloud.rps / size, (cloud.rps / size) * 2),
       clock,
       log,
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,7 +1,17 @@
 /** What to rent and what to give back: pure functions of a snapshot. */
 import type { Flavor } from '../cloud/client.js';
 import { waitingCount } from '../jobs/life.js';
-import { allowed, fits, plan, RANKS, take, type Place, type Snapshot } from '../placement/plan.js';
+import {
+  allowed,
+  fits,
+  less,
+  plan,
+  RANKS,
+  suits,
+  take,
+  type Place,
+  type Snapshot,
+} from '../placement/plan.js';
 import type { JobRecord, JobSpec } from '../store/records.js';
 
 export interface Offer {
@@ -60,7 +70,7 @@
       let place = extra.find((candidate) => open(candidate) && fits(spec, candidate.free));
       if (!place) {
         if (offers.length >= most) return offers;
-        const offer = cheapest(spec, lacking, flavors, refused, offers, open, zones);
+        const offer = cheapest(snapshot, spec, lacking, flavors, refused, offers, open, zones);
         if (!offer) break;
         const flavor = flavors.get(offer.flavor);
         if (!flavor) break;
@@ -92,6 +102,7 @@
 }
 
 function cheapest(
+  snapshot: Snapshot,
   spec: JobSpec,
   lacking: number,
   flavors: ReadonlyMap<string, Flavor>,
@@ -101,9 +112,10 @@
   zones: ReadonlyMap<string, number>,
 ): Offer | null {
   let best: { offer: Offer; key: number[] } | null = null;
+  const picky = snapshot.plainFits(spec);
   for (const flavor of flavors.values()) {
     const count = Math.min(holds(spec, flavor), lacking);
-    if (count < 1) continue;
+    if (count < 1 || (picky && !suits(spec, flavor))) continue;
     for (const site of flavor.sites)
       for (const reclaimable of spec.reclaimable ? [true, false] : [false]) {
         const offer = { flavor: flavor.sku, site, reclaimable };
@@ -111,14 +123,7 @@
         const price = reclaimable ? (flavor.low_price ?? flavor.rate) : flavor.rate;
         const here = taken.filter((other) => other.site === site).length;
         const key = [spec.spread ? (zones.get(site) ?? 0) : 0, price / count, here];
-        if (
-          !best ||
-          key.some(
-            (value, at) =>
-              value < (best?.key[at] ?? 0) && key.slice(0, at).every((v, i) => v === best?.key[i]),
-          )
-        )
-          best = { offer, key };
+        if (!best || less(key, best.key)) best = { offer, key };
       }
   }
   return best?.offer ?? null;
--- a/src/fleet/renter.ts
+++ b/src/fleet/renter.ts
@@ -3,9 +3,9 @@
 import type { Keeper } from '../domain/keeper.js';
 import { compare } from '../domain/dealing.js';
 import type { Log } from '../log.js';
-import { placeOf, snapshotOf } from '../placement/snapshot.js';
+import { placeOf } from '../placement/snapshot.js';
 import type { Placer } from '../placement/placer.js';
-import type { Place, TeamShare } from '../placement/plan.js';
+import type { Place } from '../placement/plan.js';
 import type { Budget } from '../store/budget.js';
 import type { Change, Guard } from '../store/client.js';
 import type { Proposal, Source } from '../store/decider.js';
@@ -59,7 +59,6 @@
     private readonly keeper: Keeper,
     private readonly steward: Steward,
     private readonly placer: Placer,
-    private readonly teams: Map<string, TeamShare>,
     private readonly budget: Budget,
     private readonly clock: Clock,
     private readonly log: Log,
@@ -154,7 +153,7 @@
       else if (flavor && !this.state.ownerOf(id) && box.going === undefined)
         places.push(placeOf(id, box, flavor, this.state, new Map()));
     }
-    const snapshot = snapshotOf(this.state, this.teams, places, this.clock.wall());
+    const snapshot = this.placer.snapshot(places);
     const most = this.figures.txnOps - 2;
     const offers = wantedRentals(snapshot, this.flavors, new Set(this.refused.keys()), most);
     const counts = new Map<string, RentalClaim>();
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -8,13 +8,16 @@
 import { asBody, keys, type BoxRecord, type JobRecord, type TeamRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
 import type { Steward } from '../workers/steward.js';
-import { plan, type Place, type Placement, type TeamShare } from './plan.js';
+import { plan, type Place, type Placement, type Snapshot, type TeamShare } from './plan.js';
+import { victims } from './preempt.js';
 import { placeOf, snapshotOf } from './snapshot.js';
 
 export interface PlacerFigures {
   self: string;
   txnOps: number;
   valueBytes: number;
+  /** Zones in which controllers stand. */
+  homes: ReadonlySet<string>;
 }
 
 /** Images remembered per machine beyond those in use there. */
@@ -73,6 +76,12 @@
     return good ? placeOf(id, box, flavor, this.state, this.cached) : null;
   }
 
+  snapshot(places: Place[]): Snapshot {
+    const { homes } = this.figures;
+    const wall = this.clock.wall();
+    return snapshotOf(this.state, this.teams, places, wall, homes, this.flavors());
+  }
+
   private propose(): Proposal | null {
     if (!this.dirty || !this.keeper.registered) return null;
     this.dirty = false;
@@ -82,8 +91,37 @@
       if (spot) places.push(spot);
     }
     if (places.length === 0) return null;
-    const placements = plan(snapshotOf(this.state, this.teams, places, this.clock.wall()));
-    return this.commit(placements) ?? this.borrow(placements);
+    const snapshot = this.snapshot(places);
+    const placements = plan(snapshot);
+    return this.commit(placements) ?? this.borrow(placements) ?? this.preempt(snapshot, placements);
+  }
+
+  /** Marks tasks that are to stop; the steward halts them with time to save. */
+  private preempt(snapshot: Snapshot, placements: Placement[]): Proposal | null {
+    const { txnOps } = this.figures;
+    const chosen = victims(snapshot, placements, txnOps, (box) => this.state.onBox.get(box) ?? []);
+    const guards: Guard[] = [this.keeper.guard()];
+    const apply: Change[] = [];
+    const jobs = new Map<string, JobRecord>();
+    for (const { uid, task, box } of chosen) {
+      const job = jobs.get(uid) ?? this.state.jobs.get(uid);
+      if (!job || this.keeper.termFor(box) === null) continue;
+      if (!jobs.has(uid) && jobs.size >= txnOps) continue;
+      jobs.set(uid, { ...job, stop: [...(job.stop ?? []), task] });
+    }
+    for (const [uid, job] of jobs) {
+      const key = keys.job(uid);
+      guards.push({ key, stamp: this.state.stampOf(key) });
+      apply.push({ put: key, value: asBody(job) });
+    }
+    if (apply.length === 0) return null;
+    return {
+      txn: { guards, apply },
+      settled: (outcome) => {
+        this.dirty = true;
+        if (outcome.kind === 'done') this.log.info({ chosen }, 'tasks are to stop for others');
+      },
+    };
   }
 
   /** Record before act: the launch is sent only once this has been committed. */
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -35,6 +35,10 @@
   teams: Map<string, TeamShare>;
   used: Map<string, { cpus: number; cards: number }>;
   siteOf(box: string): string;
+  /** Zones in which controllers stand. */
+  homes: ReadonlySet<string>;
+  /** Whether any machine type without cards could hold the task. */
+  plainFits(spec: JobSpec): boolean;
 }
 
 export interface Placement {
@@ -70,8 +74,13 @@
   free.memory_gb -= spec.memory_gb * times;
 }
 
+/** Machines with cards are for work that uses them: whatever else stands there blocks a whole gang. */
+export function suits(spec: JobSpec, size: Room): boolean {
+  return spec.cards > 0 || size.cards === 0;
+}
+
 /** How far a team is into its guarantee; above 1 it borrows. */
-function share(snapshot: Snapshot, team: string, spec: JobSpec): number {
+export function share(snapshot: Snapshot, team: string, spec: JobSpec): number {
   const limits = snapshot.teams.get(team);
   const used = snapshot.used.get(team) ?? { cpus: 0, cards: 0 };
   const part = (amount: number, guarantee: number): number =>
@@ -83,7 +92,7 @@
   );
 }
 
-function withinLimit(snapshot: Snapshot, spec: JobSpec, tasks: number): boolean {
+export function withinLimit(snapshot: Snapshot, spec: JobSpec, tasks: number): boolean {
   const limits = snapshot.teams.get(spec.owner);
   const used = snapshot.used.get(spec.owner) ?? { cpus: 0, cards: 0 };
   return (
@@ -93,10 +102,21 @@
   );
 }
 
-/** Order inside a team: rank, then what is due first, then what came first. */
-function before(a: JobRecord, b: JobRecord): number {
+/** 0: can still be done by its deadline if all of it starts now; 1: cannot any more. */
+function late(job: JobRecord, wall: number): number {
+  if (job.s.due_s === null) return 0;
+  return wall + job.s.expect_s * 1000 > job.at + job.s.due_s * 1000 ? 1 : 0;
+}
+
+/** Order inside a team: rank, then what can still be on time, then what is due first. */
+export function before(a: JobRecord, b: JobRecord, wall: number): number {
   const due = (job: JobRecord): number => job.at + (job.s.due_s === null ? 0 : job.s.due_s * 1000);
-  return RANKS.indexOf(a.s.rank) - RANKS.indexOf(b.s.rank) || due(a) - due(b) || a.at - b.at;
+  return (
+    RANKS.indexOf(a.s.rank) - RANKS.indexOf(b.s.rank) ||
+    late(a, wall) - late(b, wall) ||
+    due(a) - due(b) ||
+    a.at - b.at
+  );
 }
 
 /**
@@ -105,7 +125,9 @@
  */
 export function plan(snapshot: Snapshot): Placement[] {
   const queues = new Map<string, { uid: string; job: JobRecord; left: number }[]>();
-  const sorted = [...snapshot.jobs].sort((a, b) => before(a.job, b.job) || compare(a.uid, b.uid));
+  const sorted = [...snapshot.jobs].sort(
+    (a, b) => before(a.job, b.job, snapshot.wall) || compare(a.uid, b.uid),
+  );
   for (const { uid, job } of sorted) {
     const left = waitingCount(job);
     if (left === 0 || (job.notBefore ?? 0) > snapshot.wall) continue;
@@ -120,7 +142,12 @@
       const head = queue[0];
       if (!head) continue;
       const part = share(snapshot, team, head.job.s);
-      const key = [RANKS.indexOf(head.job.s.rank), part <= 1 + EPS ? 0 : 1, part];
+      const key = [
+        RANKS.indexOf(head.job.s.rank),
+        part <= 1 + EPS ? 0 : 1,
+        late(head.job, snapshot.wall),
+        part,
+      ];
       if (!turn || less(key, turn.key) || (!less(turn.key, key) && team < turn.team))
         turn = { team, key };
     }
@@ -146,7 +173,8 @@
   return [...placed].map(([uid, boxes]) => ({ uid, boxes }));
 }
 
-function less(a: number[], b: number[]): boolean {
+/** Compares keys field by field. */
+export function less(a: number[], b: number[]): boolean {
   for (let at = 0; at < a.length; at++) {
     const one = a[at] ?? 0;
     const two = b[at] ?? 0;
@@ -165,8 +193,13 @@
     const site = snapshot.siteOf(box);
     zones.set(site, (zones.get(site) ?? 0) + 1);
   }
+  const picky = snapshot.plainFits(spec);
   const open = snapshot.places.filter(
-    (place) => allowed(spec, place) && !job.avoid?.includes(place.id) && fits(spec, place.free),
+    (place) =>
+      allowed(spec, place) &&
+      !job.avoid?.includes(place.id) &&
+      fits(spec, place.free) &&
+      (!picky || spec.shape !== 'standing' || suits(spec, place.size)),
   );
   if (open.length === 0) return null;
   const only = zones.size > 0 ? [...zones.keys()] : [...new Set(open.map((place) => place.site))];
@@ -179,7 +212,7 @@
     const count = new Map(zones);
     const taken: Place[] = [];
     while (chosen.length < tasks) {
-      const place = best(spec, candidates, count);
+      const place = best(snapshot, spec, candidates, count);
       if (!place) break;
       take(spec, place.free);
       taken.push(place);
@@ -196,19 +229,27 @@
 }
 
 /** Image first; then the machine with most free room. Cards are left to those who need them. */
-function best(spec: JobSpec, candidates: Place[], zones: Map<string, number>): Place | null {
+function best(
+  snapshot: Snapshot,
+  spec: JobSpec,
+  candidates: Place[],
+  zones: Map<string, number>,
+): Place | null {
   const most = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
   let chosen: Place | null = null;
   let key: number[] = [];
   for (const place of candidates) {
     if (!fits(spec, place.free) || (zones.get(place.site) ?? 0) >= most) continue;
-    const wasteful = spec.cards === 0 && place.size.cards > 0 ? 1 : 0;
+    const wasteful = suits(spec, place.size) ? 0 : 1;
+    // A service that may stand anywhere stands where a controller is: a cut between zones spares it.
+    const remote = spec.shape === 'standing' && !snapshot.homes.has(place.site) ? 1 : 0;
     const scarce = spec.reclaimable && !place.reclaimable ? 1 : 0;
     const room = place.free.cpus / Math.max(place.size.cpus, EPS);
     const mine = [
       wasteful,
-      spec.spread ? (zones.get(place.site) ?? 0) : 0,
       place.images.has(spec.image) ? 0 : 1,
+      spec.spread ? (zones.get(place.site) ?? 0) : 0,
+      remote,
       scarce,
       -room,
     ];
--- /dev/null
+++ b/src/placement/preempt.ts
@@ -0,0 +1,133 @@
+/** Which tasks stop so that others can start: pure functions of a snapshot. */
+import { compare } from '../domain/dealing.js';
+import { staysOn, waitingCount, wantsRunning } from '../jobs/life.js';
+import type { JobRecord } from '../store/records.js';
+import {
+  allowed,
+  before,
+  fits,
+  less,
+  RANKS,
+  share,
+  suits,
+  take,
+  withinLimit,
+  type Place,
+  type Placement,
+  type Snapshot,
+} from './plan.js';
+
+export interface Victim {
+  uid: string;
+  task: number;
+  box: string;
+}
+
+interface Running {
+  victim: Victim;
+  job: JobRecord;
+}
+
+/**
+ * For work that found no place: lower ranks make room for higher ones, and what a team runs beyond its
+ * guarantee makes room for a team within its own. Tasks already told to stop count as room on its way.
+ * `snapshot` is the one that was planned with, so its places hold what is left after `placements`.
+ */
+export function victims(
+  snapshot: Snapshot,
+  placements: Placement[],
+  most: number,
+  onBox: (box: string) => Iterable<string>,
+): Victim[] {
+  const placed = new Map(placements.map(({ uid, boxes }) => [uid, boxes.length]));
+  const jobs = new Map(snapshot.jobs.map(({ uid, job }) => [uid, job]));
+  const running = new Map<string, Running[]>();
+  for (const place of snapshot.places) {
+    const here: Running[] = [];
+    for (const uid of onBox(place.id)) {
+      const job = jobs.get(uid);
+      if (!job) continue;
+      for (const { task } of staysOn(job, place.id)) {
+        if (!wantsRunning(job, task)) take(job.s, place.free, -1);
+        else if (job.s.shape !== 'group' || job.s.tasks === 1)
+          here.push({ victim: { uid, task, box: place.id }, job });
+      }
+    }
+    running.set(place.id, here);
+  }
+  const out: Victim[] = [];
+  const lacking = snapshot.jobs
+    .filter(({ uid, job }) => waitingCount(job) > (placed.get(uid) ?? 0))
+    .filter(({ job }) => (job.notBefore ?? 0) <= snapshot.wall)
+    .sort((a, b) => before(a.job, b.job, snapshot.wall) || compare(a.uid, b.uid));
+  for (const { uid, job } of lacking) {
+    if (job.s.shape === 'group' && job.s.tasks > 1) continue;
+    for (let left = waitingCount(job) - (placed.get(uid) ?? 0); left > 0; left--) {
+      if (!withinLimit(snapshot, job.s, 1)) break;
+      const room = makeRoom(snapshot, job, running, most - out.length);
+      if (!room) break;
+      out.push(...room);
+      const used = snapshot.used.get(job.s.owner) ?? { cpus: 0, cards: 0 };
+      snapshot.used.set(job.s.owner, {
+        cpus: used.cpus + job.s.cpus,
+        cards: used.cards + job.s.cards,
+      });
+    }
+  }
+  return out;
+}
+
+/** The cheapest way to room for one task: none to stop at all if enough is on its way. */
+function makeRoom(
+  snapshot: Snapshot,
+  job: JobRecord,
+  running: Map<string, Running[]>,
+  most: number,
+): Victim[] | null {
+  const guaranteed = share(snapshot, job.s.owner, job.s) <= 1;
+  const picky = snapshot.plainFits(job.s);
+  let best: { place: Place; stop: Running[]; key: number[] } | null = null;
+  for (const place of snapshot.places) {
+    if (!allowed(job.s, place) || job.avoid?.includes(place.id)) continue;
+    if (!fits(job.s, place.size) || (picky && !suits(job.s, place.size))) continue;
+    const free = { ...place.free };
+    const stop: Running[] = [];
+    const ranked = (running.get(place.id) ?? [])
+      .filter((one) => mayStop(snapshot, one.job, job, guaranteed))
+      .sort((a, b) => cost(b.job) - cost(a.job) || b.job.at - a.job.at);
+    for (const one of ranked) {
+      if (fits(job.s, free)) break;
+      stop.push(one);
+      take(one.job.s, free, -1);
+    }
+    if (!fits(job.s, free) || stop.length > most) continue;
+    const key = [stop.length, place.images.has(job.s.image) ? 0 : 1];
+    if (!best || less(key, best.key)) best = { place, stop, key };
+  }
+  if (!best) return null;
+  const { place, stop } = best;
+  for (const one of stop) take(one.job.s, place.free, -1);
+  take(job.s, place.free);
+  running.set(
+    place.id,
+    (running.get(place.id) ?? []).filter((one) => !stop.includes(one)),
+  );
+  return stop.map((one) => one.victim);
+}
+
+/** The lowest rank stops first. */
+function cost(job: JobRecord): number {
+  return RANKS.indexOf(job.s.rank);
+}
+
+function mayStop(snapshot: Snapshot, other: JobRecord, job: JobRecord, within: boolean): boolean {
+  if (RANKS.indexOf(other.s.rank) > RANKS.indexOf(job.s.rank)) return true;
+  if (!within || other.s.owner === job.s.owner || other.s.shape === 'standing') return false;
+  // Its team must stay beyond its guarantee even without this task.
+  const used = snapshot.used.get(other.s.owner) ?? { cpus: 0, cards: 0 };
+  const limits = snapshot.teams.get(other.s.owner);
+  return (
+    limits !== undefined &&
+    (used.cpus - other.s.cpus >= limits.cpus || used.cards - other.s.cards > limits.cards)
+  );
+}
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -3,7 +3,7 @@
 import { staysOn } from '../jobs/life.js';
 import type { BoxRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
-import { take, type Place, type Snapshot, type TeamShare } from './plan.js';
+import { fits, take, type Place, type Snapshot, type TeamShare } from './plan.js';
 
 export function teamShares(settings: Settings): Map<string, TeamShare> {
   return new Map(
@@ -47,8 +47,17 @@
   teams: Map<string, TeamShare>,
   places: Place[],
   wall: number,
+  homes: ReadonlySet<string>,
+  flavors: ReadonlyMap<string, Flavor>,
 ): Snapshot {
+  const plain = [...flavors.values()].filter((flavor) => flavor.cards === 0);
   return {
+    homes,
+    plainFits: (spec) =>
+      plain.some(
+        (flavor) =>
+          fits(spec, flavor) && (spec.flavors === null || spec.flavors.includes(flavor.sku)),
+      ),
     wall,
     places,
     jobs: [...state.jobs].map(([uid, job]) => ({ uid, job })),
