Preemption keeps to zone limits, and stops equals only where a guarantee is an aim

Cause: tasks were stopped for a service that its zone limit kept from the room made, over and over (siniestros troubles: 39 tasks lost).

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -107,6 +107,7 @@
         self,
         txnOps: limits.txn_ops,
         valueBytes,
+        guarantees: settings.settings.objectives.some(({ kind }) => kind === 'guarantee'),
         homes: new Set([settings.zone, ...settings.others.map((other) => other.zone)]),
       },
       this.state,
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -9,6 +9,8 @@
   RANKS,
   suits,
   take,
+  zoneLimit,
+  zonesOf,
   type Place,
   type Snapshot,
 } from '../placement/plan.js';
@@ -58,13 +60,9 @@
       lacking = Math.min(lacking, Math.floor((limits.cpusMax - used.cpus) / spec.cpus + 1e-6));
     if (spec.cards > 0)
       lacking = Math.min(lacking, Math.floor((limits.cardsMax - used.cards) / spec.cards + 1e-6));
-    const zones = new Map<string, number>();
-    for (const box of Object.keys(job.r)) {
-      const site = snapshot.siteOf(box);
-      zones.set(site, (zones.get(site) ?? 0) + (job.r[box]?.length ?? 0) / 2);
-    }
+    const zones = zonesOf(snapshot, job, []);
     while (lacking > 0) {
-      const mostHere = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+      const mostHere = zoneLimit(spec);
       const open = (place: Offer): boolean =>
         allowed(spec, place) && (zones.get(place.site) ?? 0) < mostHere;
       let place = extra.find((candidate) => open(candidate) && fits(spec, candidate.free));
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -18,6 +18,8 @@
   valueBytes: number;
   /** Zones in which controllers stand. */
   homes: ReadonlySet<string>;
+  /** Whether the operators state an aim for guarantees. */
+  guarantees: boolean;
 }
 
 /** Images remembered per machine beyond those in use there. */
@@ -77,9 +79,9 @@
   }
 
   snapshot(places: Place[]): Snapshot {
-    const { homes } = this.figures;
+    const { homes, guarantees } = this.figures;
     const wall = this.clock.wall();
-    return snapshotOf(this.state, this.teams, places, wall, homes, this.flavors());
+    return snapshotOf(this.state, this.teams, places, wall, homes, guarantees, this.flavors());
   }
 
   private propose(): Proposal | null {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -37,6 +37,8 @@
   siteOf(box: string): string;
   /** Zones in which controllers stand. */
   homes: ReadonlySet<string>;
+  /** Whether the operators state an aim for guarantees; only then is equal work stopped for them. */
+  guarantees: boolean;
   /** Whether any machine type without cards could hold the task. */
   plainFits(spec: JobSpec): boolean;
 }
@@ -183,16 +185,31 @@
   return false;
 }
 
+/** How many tasks of the job may be in each zone, those in doubt counted. */
+export function zonesOf(
+  snapshot: Snapshot,
+  job: JobRecord,
+  more: Iterable<string>,
+): Map<string, number> {
+  const zones = new Map<string, number>();
+  for (const box of [...[...stays(job)].map((stay) => stay.box), ...more]) {
+    const site = snapshot.siteOf(box);
+    zones.set(site, (zones.get(site) ?? 0) + 1);
+  }
+  return zones;
+}
+
+/** How many tasks of the job one zone may hold. */
+export function zoneLimit(spec: JobSpec): number {
+  return spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+}
+
 /** Machines for the next task of an array or service, or for all tasks of a gang. Takes the room. */
 function chooseFor(snapshot: Snapshot, job: JobRecord, already: string[]): string[] | null {
   const spec = job.s;
   const tasks = spec.shape === 'group' ? spec.tasks : 1;
   if (!withinLimit(snapshot, spec, tasks)) return null;
-  const zones = new Map<string, number>();
-  for (const box of [...[...stays(job)].map((stay) => stay.box), ...already]) {
-    const site = snapshot.siteOf(box);
-    zones.set(site, (zones.get(site) ?? 0) + 1);
-  }
+  const zones = zonesOf(snapshot, job, already);
   const picky = snapshot.plainFits(spec);
   const open = snapshot.places.filter(
     (place) =>
@@ -235,7 +252,7 @@
   candidates: Place[],
   zones: Map<string, number>,
 ): Place | null {
-  const most = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+  const most = zoneLimit(spec);
   let chosen: Place | null = null;
   let key: number[] = [];
   for (const place of candidates) {
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -12,6 +12,8 @@
   suits,
   take,
   withinLimit,
+  zoneLimit,
+  zonesOf,
   type Place,
   type Placement,
   type Snapshot,
@@ -39,7 +41,7 @@
   most: number,
   onBox: (box: string) => Iterable<string>,
 ): Victim[] {
-  const placed = new Map(placements.map(({ uid, boxes }) => [uid, boxes.length]));
+  const placed = new Map(placements.map(({ uid, boxes }) => [uid, boxes]));
   const jobs = new Map(snapshot.jobs.map(({ uid, job }) => [uid, job]));
   const running = new Map<string, Running[]>();
   for (const place of snapshot.places) {
@@ -57,16 +59,19 @@
   }
   const out: Victim[] = [];
   const lacking = snapshot.jobs
-    .filter(({ uid, job }) => waitingCount(job) > (placed.get(uid) ?? 0))
+    .filter(({ uid, job }) => waitingCount(job) > (placed.get(uid)?.length ?? 0))
     .filter(({ job }) => (job.notBefore ?? 0) <= snapshot.wall)
     .sort((a, b) => before(a.job, b.job, snapshot.wall) || compare(a.uid, b.uid));
   for (const { uid, job } of lacking) {
     if (job.s.shape === 'group' && job.s.tasks > 1) continue;
-    for (let left = waitingCount(job) - (placed.get(uid) ?? 0); left > 0; left--) {
+    // Room in a zone that the job may not use is of no help: stopping for it would go on without end.
+    const zones = zonesOf(snapshot, job, placed.get(uid) ?? []);
+    for (let left = waitingCount(job) - (placed.get(uid)?.length ?? 0); left > 0; left--) {
       if (!withinLimit(snapshot, job.s, 1)) break;
-      const room = makeRoom(snapshot, job, running, most - out.length);
+      const room = makeRoom(snapshot, job, running, zones, most - out.length);
       if (!room) break;
-      out.push(...room);
+      out.push(...room.stop);
+      zones.set(room.site, (zones.get(room.site) ?? 0) + 1);
       const used = snapshot.used.get(job.s.owner) ?? { cpus: 0, cards: 0 };
       snapshot.used.set(job.s.owner, {
         cpus: used.cpus + job.s.cpus,
@@ -82,12 +87,15 @@
   snapshot: Snapshot,
   job: JobRecord,
   running: Map<string, Running[]>,
+  zones: ReadonlyMap<string, number>,
   most: number,
-): Victim[] | null {
-  const guaranteed = share(snapshot, job.s.owner, job.s) <= 1;
+): { stop: Victim[]; site: string } | null {
+  const guaranteed = snapshot.guarantees && share(snapshot, job.s.owner, job.s) <= 1;
   const picky = snapshot.plainFits(job.s);
   let best: { place: Place; stop: Running[]; key: number[] } | null = null;
   for (const place of snapshot.places) {
+    if ((zones.get(place.site) ?? 0) >= zoneLimit(job.s)) continue;
+    if (job.s.one_zone && zones.size > 0 && !zones.has(place.site)) continue;
     if (!allowed(job.s, place) || job.avoid?.includes(place.id)) continue;
     if (!fits(job.s, place.size) || (picky && !suits(job.s, place.size))) continue;
     const free = { ...place.free };
@@ -112,7 +120,7 @@
     place.id,
     (running.get(place.id) ?? []).filter((one) => !stop.includes(one)),
   );
-  return stop.map((one) => one.victim);
+  return { stop: stop.map((one) => one.victim), site: place.site };
 }
 
 /** The lowest rank stops first. */
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -48,11 +48,13 @@
   places: Place[],
   wall: number,
   homes: ReadonlySet<string>,
+  guarantees: boolean,
   flavors: ReadonlyMap<string, Flavor>,
 ): Snapshot {
   const plain = [...flavors.values()].filter((flavor) => flavor.cards === 0);
   return {
     homes,
+    guarantees,
     plainFits: (spec) =>
       plain.some(
         (flavor) =>
