--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -23,7 +23,8 @@
   waitMs(count: number): number {
     this.refill();
     const missing = Math.min(count, this.burst) - this.tokens;
-    return missing <= 0 ? 0 : (missing / this.perSecond) * 1000;
+    // Whole milliseconds: a shorter wait may not move the clock at all, and its caller would spin.
+    return missing <= 0 ? 0 : Math.ceil((missing / this.perSecond) * 1000);
   }
 
   private refill(): void {
--- /dev/null
+++ b/test/days.test.ts
@@ -0,0 +1,192 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './stand/world.js';
+
+/** Jobs of all shapes over the first minutes, some of them withdrawn. */
+function work(world: World): { arrays: string[]; services: string[]; gangs: string[] } {
+  const arrays: string[] = [];
+  const services: string[] = [];
+  const gangs: string[] = [];
+  for (let at = 0; at < 14; at++) {
+    world.time.after(at * 6000, () => {
+      const owner = at % 2 === 0 ? 'red' : 'blue';
+      const image = `img-${String(at % 3)}`;
+      const tasks = world.chance.int(1, 9);
+      arrays.push(
+        world.user(
+          { owner, image, tasks, reclaimable: at % 3 === 0, due_s: 40 },
+          at % 5 === 4 ? 8000 : null,
+        ),
+      );
+    });
+  }
+  for (let at = 0; at < 4; at++)
+    world.time.after(at * 9000, () => {
+      const spec = { shape: 'standing', rank: 'critical', tasks: 2, spread: true } as const;
+      services.push(world.user({ ...spec, image: 'img-s', expect_s: 0 }, at === 3 ? 70_000 : null));
+    });
+  for (let at = 0; at < 3; at++)
+    world.time.after(5000 + at * 20_000, () => {
+      const spec = { shape: 'group', rank: 'urgent', cards: 2, one_zone: true } as const;
+      gangs.push(world.user({ ...spec, tasks: 2, cpus: 4, snapshot_s: 3, flush_s: 1 }));
+    });
+  return { arrays, services, gangs };
+}
+
+interface Day {
+  name: string;
+  trouble(world: World): void;
+}
+
+const at = (world: World, s: number, run: () => void): void => {
+  world.time.after(s * 1000, run);
+};
+
+const cutWorker = (world: World, forS: number, mode: 'drop' | 'hold'): void => {
+  const worker = world.someWorker();
+  if (!worker) return;
+  const names = [worker.id, worker.address];
+  world.net.cuts.push({
+    between: (from, to) => names.includes(from) || names.includes(to),
+    mode,
+    until: world.time.now + forS * 1000,
+  });
+};
+
+const cutHost = (world: World, host: string, from: RegExp, forS: number): void => {
+  world.net.cuts.push({
+    between: (one, two) => (one === host && from.test(two)) || (two === host && from.test(one)),
+    mode: 'hold',
+    until: world.time.now + forS * 1000,
+  });
+};
+
+const DAYS: Day[] = [
+  { name: 'a quiet day', trouble: () => undefined },
+  {
+    name: 'one controller crashes, then another while the first is taken over',
+    trouble(world) {
+      at(world, 40, () => {
+        world.kill('a', 20_000);
+      });
+      at(world, 43, () => {
+        world.kill('b', 5000);
+      });
+    },
+  },
+  {
+    name: 'all controllers crash and come back',
+    trouble(world) {
+      at(world, 45, () => {
+        for (const host of world.hosts()) world.kill(host, 3000);
+      });
+    },
+  },
+  {
+    name: 'controllers roll, with returns in a fraction of a second',
+    trouble(world) {
+      world.hosts().forEach((host, index) => {
+        at(world, 35 + index * 4, () => {
+          world.kill(host, 300);
+        });
+      });
+    },
+  },
+  {
+    name: 'the store is out for longer than a worker lease, and a controller crashes meanwhile',
+    trouble(world) {
+      at(world, 40, () => {
+        world.store.outage(14_000);
+      });
+      at(world, 48, () => {
+        world.kill('b', 3000);
+      });
+    },
+  },
+  {
+    name: 'workers are cut with messages held and delivered late',
+    trouble(world) {
+      for (const s of [30, 38, 46, 60])
+        at(world, s, () => {
+          cutWorker(world, 18, 'hold');
+        });
+    },
+  },
+  {
+    name: 'workers hang, and go on within their lease or after it',
+    trouble(world) {
+      for (const [s, forS] of [
+        [30, 6],
+        [45, 25],
+        [50, 9.5],
+      ] as const)
+        at(world, s, () => {
+          const worker = world.someWorker();
+          if (!worker) return;
+          worker.hung = true;
+          at(world, forS, () => {
+            worker.resume();
+          });
+        });
+    },
+  },
+  {
+    name: 'one controller loses the store alone, and its machines are taken over',
+    trouble(world) {
+      at(world, 40, () => {
+        cutHost(world, 'a', /^store/, 40);
+      });
+    },
+  },
+  {
+    name: 'one controller is refused by the store alone',
+    trouble(world) {
+      at(world, 40, () => {
+        world.store.refused.add('b');
+      });
+      at(world, 75, () => {
+        world.store.refused.delete('b');
+      });
+    },
+  },
+  {
+    name: 'one controller loses the workers alone',
+    trouble(world) {
+      at(world, 40, () => {
+        cutHost(world, 'c', /^i-/, 25);
+      });
+    },
+  },
+  {
+    name: 'a machine fails everything, another dies, and all controllers crash',
+    trouble(world) {
+      at(world, 30, () => {
+        const worker = world.someWorker();
+        if (worker) worker.sick = true;
+      });
+      at(world, 35, () => {
+        world.someWorker()?.die();
+      });
+      at(world, 50, () => {
+        for (const host of world.hosts()) world.kill(host, 1000);
+      });
+    },
+  },
+];
+
+const SEEDS = [1, 2, 3];
+
+for (const day of DAYS)
+  for (const seed of SEEDS)
+    void test(`${day.name} (seed ${String(seed)})`, async () => {
+      const world = new World(seed);
+      const { arrays, services, gangs } = work(world);
+      day.trouble(world);
+      await world.time.runUntil(230_000);
+      world.checker.finish();
+      assert.deepEqual(world.checker.broken, []);
+      const open = [...arrays, ...gangs].filter((uid) => !world.finals.has(uid));
+      assert.deepEqual(open, [], 'arrays and gangs all end');
+      assert.equal(services.filter((uid) => world.finals.has(uid)).length, 1, 'one was withdrawn');
+      for (const host of world.hosts()) world.kill(host, 1e9);
+    });
--- /dev/null
+++ b/test/stand/checker.ts
@@ -0,0 +1,129 @@
+import type { JobSpec } from '../../src/store/records.js';
+
+export interface Limits {
+  teams: Map<string, { cpus: number; cards: number }>;
+  cancelMs: number;
+}
+
+export interface BoxFacts {
+  flavor: string;
+  site: string;
+  reclaimable: boolean;
+}
+
+interface Stay {
+  uid: string;
+  task: number;
+  box: string;
+}
+
+/** Watches a simulated world and notes every broken rule of the protocol. */
+export class Checker {
+  readonly broken: string[] = [];
+  private readonly jobs = new Map<string, JobSpec>();
+  private readonly on = new Map<string, Stay>();
+  private readonly told = new Map<string, string>();
+  private readonly asked = new Set<string>();
+  private readonly cancelled = new Map<string, number>();
+  private readonly done = new Map<string, Set<number>>();
+  started = 0;
+
+  constructor(private readonly limits: Limits) {}
+
+  private note(rule: string, what: string, now: number): void {
+    this.broken.push(`${rule} at ${String(Math.round(now))}: ${what}`);
+  }
+
+  submitted(uid: string, spec: JobSpec): void {
+    this.jobs.set(uid, spec);
+  }
+
+  withdrawAsked(uid: string): void {
+    this.asked.add(uid);
+  }
+
+  /** What a user was answered: a status, and the phase if there was one. */
+  answered(uid: string, status: number, phase: string | null, now: number): void {
+    const before = this.told.get(uid);
+    if (status === 200 || status === 201) {
+      if (!this.jobs.has(uid)) this.note('invented', uid, now);
+      if ((before === 'done' || before === 'cancelled') && phase !== before)
+        this.note('went_back', `${uid}: ${before}, then ${String(phase)}`, now);
+      if (phase === 'cancelled' && !this.asked.has(uid))
+        this.note('went_back', `${uid}: cancelled without being asked`, now);
+      if (phase === 'done' && (this.done.get(uid)?.size ?? 0) < (this.jobs.get(uid)?.tasks ?? 0))
+        this.note('not_done', uid, now);
+      this.told.set(uid, phase ?? 'pending');
+      if (phase === 'cancelled' && !this.cancelled.has(uid)) this.cancelled.set(uid, now);
+    } else if (before !== undefined && (status === 404 || status === 400 || status === 422)) {
+      this.note('forgotten', `${uid}: ${String(status)}`, now);
+    }
+  }
+
+  start(box: string, facts: BoxFacts, uid: string, task: number, now: number): void {
+    this.started++;
+    const spec = this.jobs.get(uid);
+    const name = `${uid}/${String(task)}`;
+    if (!spec) {
+      this.note('invented', `${name} starts`, now);
+      return;
+    }
+    const others = [...this.on.values()].filter((stay) => stay.uid === uid);
+    for (const stay of others)
+      if (stay.task === task && stay.box !== box)
+        this.note('ran_twice', `${name} on ${box} and ${stay.box}`, now);
+    const cancelledAt = this.cancelled.get(uid);
+    if (cancelledAt !== undefined && now > cancelledAt + this.limits.cancelMs)
+      this.note('ran_cancelled', `${name} starts`, now);
+    const sites = others.map((stay) => this.facts.get(stay.box)?.site ?? '');
+    this.facts.set(box, facts);
+    if (
+      (spec.flavors && !spec.flavors.includes(facts.flavor)) ||
+      (spec.site !== null && spec.site !== facts.site) ||
+      (facts.reclaimable && !spec.reclaimable) ||
+      (spec.one_zone && sites.some((site) => site !== facts.site)) ||
+      (spec.spread &&
+        sites.filter((site) => site === facts.site).length + 1 > Math.ceil(spec.tasks / 2))
+    )
+      this.note('wrong_place', `${name} on ${box}`, now);
+    this.on.set(`${box} ${name}`, { uid, task, box });
+    this.checkQuota(spec.owner, now);
+  }
+
+  private readonly facts = new Map<string, BoxFacts>();
+
+  private checkQuota(team: string, now: number): void {
+    let cpus = 0;
+    let cards = 0;
+    for (const stay of this.on.values()) {
+      const spec = this.jobs.get(stay.uid);
+      if (spec?.owner !== team) continue;
+      cpus += spec.cpus;
+      cards += spec.cards;
+    }
+    const limit = this.limits.teams.get(team) ?? { cpus: 0, cards: 0 };
+    if (cpus > limit.cpus + 1e-6 || cards > limit.cards + 1e-6)
+      this.note('quota', `${team} uses ${String(cpus)} cpus, ${String(cards)} cards`, now);
+  }
+
+  end(box: string, uid: string, task: number, completed: boolean): void {
+    this.on.delete(`${box} ${uid}/${String(task)}`);
+    if (!completed) return;
+    const done = this.done.get(uid) ?? new Set();
+    done.add(task);
+    this.done.set(uid, done);
+  }
+
+  /** A look at the world as a whole, at any time. */
+  look(now: number): void {
+    for (const stay of this.on.values()) {
+      const cancelledAt = this.cancelled.get(stay.uid);
+      if (cancelledAt !== undefined && now > cancelledAt + this.limits.cancelMs)
+        this.note('ran_cancelled', `${stay.uid}/${String(stay.task)} still on ${stay.box}`, now);
+    }
+  }
+
+  finish(): void {
+    if (this.jobs.size > 0 && this.started === 0) this.note('nothing_ran', 'no task started', 0);
+  }
+}
--- /dev/null
+++ b/test/stand/net.ts
@@ -0,0 +1,70 @@
+import { NoAnswer, type Answer, type Call, type Caller } from '../../src/wire/client.js';
+import type { Chance, VirtualTime } from './time.js';
+
+type Handler = (call: Call) => Promise<Answer> | Answer;
+
+export interface Cut {
+  between: (from: string, to: string) => boolean;
+  /** What happens to messages that meet the cut. */
+  mode: 'drop' | 'hold';
+  until: number;
+}
+
+/** Carries calls between named hosts, with delay, and with cuts that drop messages or deliver them late. */
+export class Net {
+  private readonly handlers = new Map<string, Handler>();
+  cuts: Cut[] = [];
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly chance: Chance,
+  ) {}
+
+  serve(host: string, handler: Handler | null): void {
+    if (handler) this.handlers.set(host, handler);
+    else this.handlers.delete(host);
+  }
+
+  caller(from: string, to: () => string, alive: () => boolean): Caller {
+    return (call) =>
+      new Promise((resolve, reject) => {
+        let settled = false;
+        const finish = (work: () => void): void => {
+          if (settled || !alive()) return;
+          settled = true;
+          work();
+        };
+        this.time.after(call.timeoutMs, () => {
+          finish(() => {
+            reject(new NoAnswer(`${call.path}: no answer in time`));
+          });
+        });
+        const target = to();
+        this.pass(from, target, () => {
+          const handler = this.handlers.get(target);
+          if (!handler) {
+            finish(() => {
+              reject(new NoAnswer('refused'));
+            });
+            return;
+          }
+          void Promise.resolve(handler(structuredClone(call))).then((answer) => {
+            const copy = structuredClone(answer);
+            this.pass(target, from, () => {
+              finish(() => {
+                resolve(copy);
+              });
+            });
+          });
+        });
+      });
+  }
+
+  private pass(from: string, to: string, deliver: () => void): void {
+    const delay = this.chance.real(0.2, 3);
+    const cut = this.cuts.find((one) => this.time.now < one.until && one.between(from, to));
+    if (!cut) this.time.after(delay, deliver);
+    else if (cut.mode === 'hold')
+      this.time.after(cut.until - this.time.now + delay + this.chance.real(0, 500), deliver);
+  }
+}
--- /dev/null
+++ b/test/stand/store.ts
@@ -0,0 +1,158 @@
+import type { Answer, Call } from '../../src/wire/client.js';
+import type { Body } from '../../src/wire/codec.js';
+import type { VirtualTime } from './time.js';
+
+interface Kept {
+  value: Body;
+  stamp: number;
+  lease: number | null;
+}
+
+/** A stand-in of the state service, by its published protocol. */
+export class StoreStand {
+  private readonly keys = new Map<string, Kept>();
+  private readonly leases = new Map<number, { lifeMs: number; ends: number }>();
+  private log: { key: string; value: Body | null; stamp: number }[] = [];
+  private generation = 0;
+  private nextLease = 1;
+  private waiters: (() => void)[] = [];
+  /** Hosts that are refused now; `*` stands for all. */
+  refused = new Set<string>();
+
+  constructor(private readonly time: VirtualTime) {}
+
+  outage(forMs: number): void {
+    this.refused.add('*');
+    this.time.after(forMs, () => {
+      this.refused.delete('*');
+      for (const lease of this.leases.values()) lease.ends = this.time.now + lease.lifeMs;
+      this.notify();
+    });
+  }
+
+  handle(from: string, call: Call): Promise<Answer> | Answer {
+    this.expire();
+    const url = new URL(`http://store${call.path}`);
+    const path = url.pathname;
+    const refused = this.refused.has('*') || this.refused.has(from);
+    if (path === '/changes') return this.changes(url, from);
+    if (refused) return { status: 503, body: { error: 'trouble' } };
+    if (path === '/commit') return this.commit(call.body ?? {});
+    if (path === '/store') return this.list(url);
+    if (path.startsWith('/store/')) return this.get(path.slice('/store/'.length));
+    if (path === '/leases') {
+      const lifeMs = Number(call.body?.['life_ms']);
+      if (!Number.isInteger(lifeMs) || lifeMs < 100) return { status: 400, body: {} };
+      const lease = this.nextLease++;
+      this.leases.set(lease, { lifeMs, ends: this.time.now + lifeMs });
+      return { status: 200, body: { lease } };
+    }
+    const extend = /^\/leases\/(\d+)\/extend$/.exec(path);
+    const lease = this.leases.get(Number(extend?.[1]));
+    if (!extend || !lease) return { status: 404, body: {} };
+    lease.ends = this.time.now + lease.lifeMs;
+    return { status: 200, body: { lease: Number(extend[1]) } };
+  }
+
+  private get(key: string): Answer {
+    const kept = this.keys.get(key);
+    return kept
+      ? { status: 200, body: { key, value: kept.value, stamp: kept.stamp } }
+      : { status: 404, body: { generation: this.generation } };
+  }
+
+  private list(url: URL): Answer {
+    const under = url.searchParams.get('under') ?? '';
+    const since = url.searchParams.get('since') ?? '';
+    const page = Number(url.searchParams.get('page') ?? 1000);
+    const all = [...this.keys]
+      .filter(([key]) => key.startsWith(under) && key > since)
+      .sort(([a], [b]) => (a < b ? -1 : 1));
+    const items = all
+      .slice(0, page)
+      .map(([key, kept]) => ({ key, value: kept.value, stamp: kept.stamp }));
+    return {
+      status: 200,
+      body: { items, more: all.length > page, generation: this.generation },
+    };
+  }
+
+  private commit(body: Body): Answer {
+    const guards = (body['guards'] ?? []) as { key: string; stamp: number }[];
+    const apply = (body['apply'] ?? []) as {
+      put?: string;
+      delete?: string;
+      value?: Body;
+      lease?: number;
+    }[];
+    for (const change of apply)
+      if (change.lease !== undefined && !this.leases.has(change.lease))
+        return { status: 400, body: { error: 'no such lease' } };
+    const failed = guards
+      .filter(({ key, stamp }) => (this.keys.get(key)?.stamp ?? 0) !== stamp)
+      .map(({ key }) => key);
+    if (failed.length > 0) return { status: 409, body: { failed, generation: this.generation } };
+    this.generation++;
+    for (const change of apply) {
+      if (change.put !== undefined)
+        this.set(change.put, structuredClone(change.value ?? {}), change.lease ?? null);
+      else if (change.delete !== undefined) this.drop(change.delete);
+    }
+    this.notify();
+    return { status: 200, body: { generation: this.generation } };
+  }
+
+  private set(key: string, value: Body, lease: number | null): void {
+    this.keys.set(key, { value, stamp: this.generation, lease });
+    this.log.push({ key, value, stamp: this.generation });
+  }
+
+  private drop(key: string): void {
+    if (this.keys.delete(key)) this.log.push({ key, value: null, stamp: this.generation });
+  }
+
+  private expire(): void {
+    if (this.refused.has('*')) return;
+    for (const [id, lease] of this.leases) {
+      if (lease.ends > this.time.now) continue;
+      this.leases.delete(id);
+      const ended = [...this.keys].filter(([, kept]) => kept.lease === id);
+      if (ended.length === 0) continue;
+      this.generation++;
+      for (const [key] of ended) this.drop(key);
+      this.notify();
+    }
+  }
+
+  private notify(): void {
+    const waiters = this.waiters;
+    this.waiters = [];
+    for (const wake of waiters) wake();
+  }
+
+  private async changes(url: URL, from: string): Promise<Answer> {
+    const under = url.searchParams.get('under') ?? '';
+    const since = Number(url.searchParams.get('since') ?? 0);
+    const until = this.time.now + Number(url.searchParams.get('block_ms') ?? 0);
+    if (this.refused.has('*') || this.refused.has(from)) return { status: 503, body: {} };
+    for (;;) {
+      this.expire();
+      const refused = this.refused.has('*') || this.refused.has(from);
+      const events = this.log.filter(({ key, stamp }) => stamp > since && key.startsWith(under));
+      if (!refused && (events.length > 0 || this.time.now >= until))
+        return {
+          status: 200,
+          body: {
+            generation: this.generation,
+            log: events.map(({ key, value, stamp }) =>
+              value ? { put: key, value, stamp } : { delete: key, stamp },
+            ),
+          },
+        };
+      await new Promise<void>((resolve) => {
+        this.waiters.push(resolve);
+        this.time.after(50, resolve);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/test/stand/world.ts
@@ -0,0 +1,308 @@
+import { pino } from 'pino';
+import { OPERATOR_DEFAULTS } from '../../src/config/operator.js';
+import type { Settings } from '../../src/config/settings.js';
+import { Controller } from '../../src/controller.js';
+import type { JobSpec } from '../../src/store/records.js';
+import type { Answer, Call } from '../../src/wire/client.js';
+import type { Body } from '../../src/wire/codec.js';
+import { Checker } from './checker.js';
+import { CloudStand, type FlavorStand } from './cloud.js';
+import { Net } from './net.js';
+import { StoreStand } from './store.js';
+import { Chance, VirtualTime } from './time.js';
+import { WorkerStand, type WorkerWorld } from './worker.js';
+
+const HOSTS = ['a', 'b', 'c'];
+const REPORT_S = 1;
+const LEASE_S = 10;
+export const CANCEL_S = 30;
+
+const FLAVORS: FlavorStand[] = [
+  {
+    sku: 'plain',
+    cpus: 8,
+    cards: 0,
+    memory_gb: 64,
+    rate: 1,
+    low_price: 0.3,
+    ready_s: 10,
+    sites: ['x', 'y'],
+  },
+  {
+    sku: 'carded',
+    cpus: 8,
+    cards: 4,
+    memory_gb: 64,
+    rate: 4,
+    low_price: 1,
+    ready_s: 10,
+    sites: ['x', 'y'],
+  },
+];
+
+function settingsFor(host: string): Settings {
+  return {
+    host_name: host,
+    zone: 'x',
+    serve_on: `${host}:1`,
+    internal_addr: `${host}:2`,
+    others: HOSTS.filter((other) => other !== host).map((other) => ({
+      host_name: other,
+      zone: 'x',
+      address: `${other}:2`,
+    })),
+    external: { cloud: 'cloud:1', state: 'store:1' },
+    settings: {
+      size: HOSTS.length,
+      zones: ['x', 'y'],
+      clock_error_ms: 100,
+      teams: [
+        { name: 'red', cpus: 16, cpus_max: 40, gpus: 4, gpus_max: 8 },
+        { name: 'blue', cpus: 16, cpus_max: 24, gpus: 0, gpus_max: 4 },
+      ],
+      objectives: [{ kind: 'guarantee', within_s: 5, share: 0.9 }],
+      workers: {
+        report_s: REPORT_S,
+        lease_s: LEASE_S,
+        gang_wait_s: 20,
+        gang_peer_s: 4,
+        cancel_s: CANCEL_S,
+      },
+      state: { rps: 200, write_rps: 60, value_kb: 4, txn_ops: 12 },
+      cloud: { rps: 10, list_lag_s: 4 },
+      quota: { cpu_share: 1, memory_mb: 100, max_sockets: 100 },
+    },
+  };
+}
+
+interface Process {
+  controller: Controller;
+  alive: boolean;
+}
+
+const JOB: JobSpec = {
+  jobclass: 'k',
+  owner: 'red',
+  shape: 'array',
+  rank: 'standard',
+  tasks: 1,
+  cpus: 2,
+  cards: 0,
+  memory_gb: 4,
+  image: 'img-0',
+  image_gb: 1,
+  flavors: null,
+  site: null,
+  one_zone: false,
+  spread: false,
+  reclaimable: false,
+  expect_s: 5,
+  snapshot_s: 0,
+  flush_s: 0,
+  due_s: null,
+};
+
+/** Several controllers in one process, among stand-ins, under simulated time. */
+export class World {
+  readonly time = new VirtualTime();
+  readonly chance: Chance;
+  readonly net: Net;
+  readonly store: StoreStand;
+  readonly cloud: CloudStand;
+  readonly checker: Checker;
+  readonly workers = new Map<string, WorkerStand>();
+  readonly specs = new Map<string, JobSpec>();
+  readonly finals = new Map<string, string>();
+  private readonly processes = new Map<string, Process>();
+  private readonly workerWorld: WorkerWorld;
+  private nextJob = 0;
+
+  constructor(seed: number) {
+    this.chance = new Chance(seed);
+    this.net = new Net(this.time, this.chance);
+    this.store = new StoreStand(this.time);
+    const teams = new Map(
+      settingsFor('a').settings.teams.map((team) => [
+        team.name,
+        { cpus: team.cpus_max, cards: team.gpus_max },
+      ]),
+    );
+    this.checker = new Checker({ teams, cancelMs: CANCEL_S * 1000 });
+    this.workerWorld = {
+      time: this.time,
+      chance: this.chance,
+      checker: this.checker,
+      hosts: HOSTS,
+      reportMs: REPORT_S * 1000,
+      leaseMs: LEASE_S * 1000,
+      gangWaitMs: 20_000,
+      gangPeerMs: 4000,
+      flavors: new Map(FLAVORS.map((flavor) => [flavor.sku, flavor])),
+      spec: (uid) => this.specs.get(uid),
+      gangs: new Map(),
+      call: (from, host) =>
+        this.net.caller(
+          from,
+          () => host,
+          () => !this.workers.get(from)?.dead,
+        ),
+    };
+    this.cloud = new CloudStand(
+      this.time,
+      this.chance,
+      FLAVORS,
+      4,
+      4000,
+      ({ uid, flavor, site, reclaimable }) => {
+        const worker = new WorkerStand(uid, { flavor, site, reclaimable }, this.workerWorld);
+        this.workers.set(uid, worker);
+        this.net.serve(worker.address, (call) => worker.handle(call));
+      },
+      (uid) => {
+        const worker = this.workers.get(uid);
+        if (!worker) return;
+        worker.die();
+        this.net.serve(worker.address, null);
+        this.workers.delete(uid);
+      },
+    );
+    this.net.serve('cloud', (call) => this.cloud.handle(call));
+    for (const host of HOSTS) {
+      this.net.serve(`store for ${host}`, (call) => this.store.handle(host, call));
+      this.boot(host);
+    }
+    const look = (): void => {
+      this.checker.look(this.time.now);
+      this.time.after(1000, look);
+    };
+    look();
+  }
+
+  boot(host: string): void {
+    const process: Process = { alive: true, controller: null as unknown as Controller };
+    const alive = (): boolean => process.alive;
+    const caller = (to: string) => this.net.caller(host, () => to, alive);
+    const drift = this.chance.real(0.9995, 1.0005);
+    const offset = this.chance.real(-100, 100);
+    process.controller = new Controller(settingsFor(host), OPERATOR_DEFAULTS, {
+      clock: this.time.clockOf(alive, drift, offset),
+      log: pino({ level: 'silent' }),
+      store: caller(`store for ${host}`),
+      storeWatch: caller(`store for ${host}`),
+      cloud: caller('cloud'),
+      worker: (address) => caller(address),
+    });
+    this.processes.set(host, process);
+    this.net.serve(host, (call) => this.route(process.controller, call));
+    void process.controller.start();
+  }
+
+  kill(host: string, backAfterMs: number): void {
+    const process = this.processes.get(host);
+    if (!process?.alive) return;
+    process.alive = false;
+    process.controller.stop();
+    this.net.serve(host, null);
+    this.time.after(backAfterMs, () => {
+      this.boot(host);
+    });
+  }
+
+  private async route(controller: Controller, call: Call): Promise<Answer> {
+    const parts = call.path.split('/').slice(1);
+    const route = controller.routes.find(
+      ({ method, path }) =>
+        method === call.method &&
+        path.length === parts.length &&
+        path.every((part, at) => part === '*' || part === parts[at]),
+    );
+    if (!route) return { status: 404, body: {} };
+    const reply = await route.handle(
+      parts.filter((_, at) => route.path[at] === '*'),
+      call.body ?? {},
+    );
+    return { status: reply.status, body: reply.body };
+  }
+
+  /** A user that submits a job, polls it until it is over, and may withdraw it. */
+  user(overrides: Partial<JobSpec>, withdrawAfterMs: number | null = null): string {
+    const uid = `j-${String(this.nextJob++).padStart(6, '0')}`;
+    const spec = { ...JOB, ...overrides };
+    this.specs.set(uid, spec);
+    this.checker.submitted(uid, spec);
+    void this.submit(uid, spec, withdrawAfterMs);
+    return uid;
+  }
+
+  private async submit(uid: string, spec: JobSpec, withdrawAfterMs: number | null): Promise<void> {
+    const until = this.time.now + 60_000;
+    for (;;) {
+      const { status } = await this.ask(uid, 'POST', '/v2/runs', { uid, ...spec }, 5000);
+      if (status === 200 || status === 201) break;
+      if (this.time.now > until || status === 400 || status === 422) return;
+      await this.pause(1000);
+    }
+    if (withdrawAfterMs !== null)
+      this.time.after(withdrawAfterMs, () => {
+        void this.withdraw(uid);
+      });
+    for (;;) {
+      await this.pause(5000);
+      const { phase } = await this.ask(uid, 'GET', `/v2/runs/${uid}`, undefined, 2000);
+      if (phase === 'done' || phase === 'cancelled') {
+        this.finals.set(uid, phase);
+        // Final states may be asked for again at any time, and a submission may be repeated.
+        await this.pause(20_000);
+        await this.ask(uid, 'GET', `/v2/runs/${uid}`, undefined, 2000);
+        await this.ask(uid, 'POST', '/v2/runs', { uid, ...spec }, 5000);
+        return;
+      }
+    }
+  }
+
+  async withdraw(uid: string): Promise<void> {
+    this.checker.withdrawAsked(uid);
+    for (;;) {
+      const { status } = await this.ask(uid, 'POST', `/v2/runs/${uid}/withdraw`, {}, 5000);
+      if (status === 200 || status === 404) return;
+      await this.pause(1000);
+    }
+  }
+
+  async ask(
+    uid: string,
+    method: 'GET' | 'POST',
+    path: string,
+    body: Body | undefined,
+    timeoutMs: number,
+  ): Promise<{ status: number; phase: string | null }> {
+    const host = HOSTS[this.chance.int(0, HOSTS.length - 1)] ?? 'a';
+    const call: Call = { method, path, timeoutMs, ...(body ? { body } : {}) };
+    try {
+      const answer = await this.net.caller(
+        'user',
+        () => host,
+        () => true,
+      )(call);
+      const phase = typeof answer.body['phase'] === 'string' ? answer.body['phase'] : null;
+      this.checker.answered(uid, answer.status, phase, this.time.now);
+      return { status: answer.status, phase };
+    } catch {
+      return { status: 0, phase: null };
+    }
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.time.after(ms, resolve));
+  }
+
+  /** Any worker that is up, picked by chance. */
+  someWorker(): WorkerStand | undefined {
+    const all = [...this.workers.values()];
+    return all[this.chance.int(0, Math.max(0, all.length - 1))];
+  }
+
+  hosts(): readonly string[] {
+    return HOSTS;
+  }
+}
