Mesh between controllers: testimony that keeps workers alive in an outage, users relayed

Cause: a node that the store alone refuses answered its users 503 for as long as that lasted, and every owner stopped answering workers some time into an outage.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,6 +6,8 @@
 import { Renter } from './fleet/renter.js';
 import { Desk } from './jobs/desk.js';
 import type { Log } from './log.js';
+import type { Ask, Serve } from './mesh/link.js';
+import { Peers, type Testimony } from './mesh/peers.js';
 import { Placer } from './placement/placer.js';
 import { teamShares } from './placement/snapshot.js';
 import { Budget } from './store/budget.js';
@@ -14,7 +16,8 @@
 import { Follower } from './store/follower.js';
 import { State } from './store/state.js';
 import type { Caller } from './wire/client.js';
-import type { Route } from './wire/server.js';
+import { isMap } from './wire/codec.js';
+import { fillPath, findRoute, type Route } from './wire/server.js';
 import { Steward } from './workers/steward.js';
 
 /** What a controller needs of the world around it; tests hand in stand-ins. */
@@ -25,6 +28,7 @@
   storeWatch: Caller;
   cloud: Caller;
   worker(address: string): Caller;
+  peer(address: string): Ask;
 }
 
 /** One controller, put together. It starts nothing by itself before `start`. */
@@ -38,6 +42,9 @@
   private readonly renter: Renter;
   private readonly desk: Desk;
   private readonly decider: Decider;
+  private readonly peers: Peers;
+  private readonly store: StoreClient;
+  private readonly startedAt: number;
   private stopped = false;
 
   constructor(
@@ -55,7 +62,15 @@
     const teams = teamShares(settings);
     const writes = new Budget(clock, limits.write_rps / 2, limits.write_rps / 2);
 
+    this.startedAt = clock.now();
     const store = new StoreClient(world.store, world.storeWatch, clock, log, reportMs);
+    this.store = store;
+    this.peers = new Peers(
+      new Map(settings.others.map(({ host_name, address }) => [host_name, world.peer(address)])),
+      { everyMs: reportMs / 2, timeoutMs: reportMs, staleMs: leaseMs / 2 },
+      clock,
+      log,
+    );
     this.state = new State((kind, name) => {
       this.changed(kind, name);
     });
@@ -100,6 +115,7 @@
       log,
       (address) => world.worker(address),
       wake,
+      () => this.peers.vouchedUntil(this.state.replica.generation, this.state.replica.freshAt),
     );
     const flavors = () => this.renter.flavors;
     this.placer = new Placer(
@@ -173,13 +189,19 @@
 
   /** Runs until `stop`; a loop that throws ends it with the error. */
   async start(): Promise<void> {
-    await Promise.all([this.follow(), this.keeper.renewLoop(), this.renterLoop()]);
+    await Promise.all([
+      this.follow(),
+      this.keeper.renewLoop(),
+      this.renterLoop(),
+      this.peers.run(),
+    ]);
   }
 
   stop(): void {
     this.stopped = true;
     this.follower.stop();
     this.keeper.stop();
+    this.peers.stop();
     this.decider.stop();
   }
 
@@ -234,16 +256,52 @@
     this.decider.wake();
   }
 
+  /** Answers to the other controllers. */
+  readonly serveMesh: Serve = async (ask, body) => {
+    if (ask === 'testify') return { ...this.testify() };
+    const { method, path, body: inner } = body;
+    if (ask !== 'user' || !Array.isArray(path) || !isMap(inner))
+      throw new Error('unknown question');
+    const { users } = this;
+    const found = findRoute(users, String(method), path.map(String));
+    if (!found) throw new Error('unknown route');
+    const { status, body: told, retryAfterS } = await found.route.handle(found.args, inner);
+    return { status, body: told, ...(retryAfterS === undefined ? {} : { retryAfterS }) };
+  };
+
+  private testify(): Testimony {
+    const now = this.world.clock.now();
+    return {
+      last: this.store.lastCommit,
+      upMs: now - this.startedAt,
+      ageMs: Math.min(1e9, now - this.state.replica.freshAt),
+    };
+  }
+
+  /** A node that the store does not answer has a peer answer its users, if the store answers that one. */
+  private relayed(route: Route): Route {
+    return {
+      ...route,
+      handle: async (args, body) => {
+        const stale =
+          this.world.clock.now() - this.state.replica.freshAt >
+          this.settings.settings.workers.lease_s * 350;
+        const path = fillPath(route.path, args);
+        const relay = () => this.peers.serve(route.method, path, body, 1500);
+        if (stale) {
+          const reply = await relay();
+          if (reply) return reply;
+        }
+        const reply = await route.handle(args, body);
+        return reply.status === 503 && !stale ? ((await relay()) ?? reply) : reply;
+      },
+    };
+  }
+
   private makeRoutes(): Route[] {
     return [
       { method: 'POST', path: ['checkin'], handle: (_, body) => this.steward.checkin(body) },
-      { method: 'POST', path: ['v2', 'runs'], handle: (_, body) => this.desk.submit(body) },
-      { method: 'GET', path: ['v2', 'runs', '*'], handle: ([uid]) => this.desk.poll(uid ?? '') },
-      {
-        method: 'POST',
-        path: ['v2', 'runs', '*', 'withdraw'],
-        handle: ([uid]) => this.desk.withdraw(uid ?? ''),
-      },
+      ...this.users.map((route) => this.relayed(route)),
       {
         method: 'GET',
         path: ['up'],
@@ -254,4 +312,14 @@
       },
     ];
   }
+
+  private readonly users: Route[] = [
+    { method: 'POST', path: ['v2', 'runs'], handle: (_, body) => this.desk.submit(body) },
+    { method: 'GET', path: ['v2', 'runs', '*'], handle: ([uid]) => this.desk.poll(uid ?? '') },
+    {
+      method: 'POST',
+      path: ['v2', 'runs', '*', 'withdraw'],
+      handle: ([uid]) => this.desk.withdraw(uid ?? ''),
+    },
+  ];
 }
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -1,9 +1,10 @@
-import { createServer } from 'node:net';
+import type { Server } from 'node:net';
 import { Controller } from './controller.js';
 import { systemClock } from './clock.js';
 import type { Operator } from './config/operator.js';
 import type { Settings } from './config/settings.js';
 import { makeLog } from './log.js';
+import { meshLink, meshServer } from './mesh/link.js';
 import { httpCaller } from './wire/client.js';
 import { makeServer } from './wire/server.js';
 
@@ -18,6 +19,7 @@
     storeWatch: httpCaller(settings.external.state, 2),
     cloud: httpCaller(settings.external.cloud, 4),
     worker: (address) => httpCaller(address, 2),
+    peer: meshLink,
   });
   const server = makeServer(controller.routes, {
     // The rest is for the links to workers, peers, cloud and state service.
@@ -27,12 +29,14 @@
       log.error({ err: String(error) }, 'request failed');
     },
   });
-  const listen = (target: ReturnType<typeof createServer>, address: string): Promise<void> =>
+  const listen = (target: Server, address: string): Promise<void> =>
     new Promise((resolve, reject) => {
       const [host, port] = address.split(':');
       target.once('error', reject);
       target.listen(Number(port), host, resolve);
     });
+  const mesh = meshServer(controller.serveMesh, settings.others.length * 4);
+  await listen(mesh, settings.internal_addr);
   await listen(server, settings.serve_on);
   log.info({ serve_on: settings.serve_on }, 'listening');
   await controller.start();
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -54,13 +54,12 @@
 
 async function serve(routes: Route[], req: IncomingMessage, res: ServerResponse): Promise<void> {
   const segments = splitPath(req.url ?? '');
-  const matching = segments ? routes.filter((route) => fits(route.path, segments)) : [];
-  const route = matching.find((entry) => entry.method === req.method);
-  if (!segments || matching.length === 0) {
+  if (!segments || !routes.some((route) => fits(route.path, segments))) {
     answer(req, res, { status: 404, body: { error: 'no such path' } });
     return;
   }
-  if (!route) {
+  const found = findRoute(routes, req.method ?? '', segments);
+  if (!found) {
     answer(req, res, { status: 405, body: { error: 'method not allowed here' } });
     return;
   }
@@ -75,8 +74,7 @@
     answer(req, res, { status: 400, body: { error: 'body is not a CBOR map' } });
     return;
   }
-  const args = segments.filter((_, at) => route.path[at] === '*');
-  answer(req, res, await route.handle(args, body));
+  answer(req, res, await found.route.handle(found.args, body));
 }
 
 function splitPath(url: string): string[] | null {
@@ -95,6 +93,22 @@
   );
 }
 
+/** The route for a path, with what its `*` stand for. */
+export function findRoute(
+  routes: Route[],
+  method: string,
+  segments: string[],
+): { route: Route; args: string[] } | null {
+  const route = routes.find((entry) => entry.method === method && fits(entry.path, segments));
+  return route ? { route, args: segments.filter((_, at) => route.path[at] === '*') } : null;
+}
+
+/** The inverse: a route's path with its `*` filled in. */
+export function fillPath(pattern: string[], args: string[]): string[] {
+  const left = [...args];
+  return pattern.map((part) => (part === '*' ? (left.shift() ?? '') : part));
+}
+
 function readBody(req: IncomingMessage): Promise<Buffer | 'large' | 'cut'> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
--- a/src/workers/steward.ts
+++ b/src/workers/steward.ts
@@ -70,6 +70,8 @@
     private readonly log: Log,
     private readonly callerFor: (address: string) => Caller,
     private readonly wake: () => void,
+    /** Steady time up to which all cancellations and claims are known here. */
+    private readonly knownUntil: () => number,
   ) {}
 
   /** A machine that may be given work: seen under the present term, alive, and nothing in doubt. */
@@ -133,7 +135,7 @@
    * their leases end within the time that a cancellation has.
    */
   private knowsCancellations(): boolean {
-    const age = this.clock.now() - this.state.replica.freshAt;
+    const age = this.clock.now() - this.knownUntil();
     return age < (this.figures.cancelMs - this.figures.leaseMs * DRIFT) * 0.85;
   }
 
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -5,6 +5,7 @@
 import type { JobSpec } from '../../src/store/records.js';
 import type { Answer, Call } from '../../src/wire/client.js';
 import type { Body } from '../../src/wire/codec.js';
+import { findRoute } from '../../src/wire/server.js';
 import { Checker } from './checker.js';
 import { CloudStand, type FlavorStand } from './cloud.js';
 import { Net } from './net.js';
@@ -191,9 +192,17 @@
       storeWatch: caller(`store for ${host}`),
       cloud: caller('cloud'),
       worker: (address) => caller(address),
+      peer: (address) => async (ask, body, timeoutMs) => {
+        const call: Call = { method: 'POST', path: ask, body, timeoutMs };
+        return (await caller(address)(call)).body;
+      },
     });
     this.processes.set(host, process);
     this.net.serve(host, (call) => this.route(process.controller, call));
+    this.net.serve(`${host}:2`, async (call) => ({
+      status: 200,
+      body: await process.controller.serveMesh(call.path, call.body ?? {}),
+    }));
     void process.controller.start();
   }
 
@@ -203,6 +212,7 @@
     process.alive = false;
     process.controller.stop();
     this.net.serve(host, null);
+    this.net.serve(`${host}:2`, null);
     this.time.after(backAfterMs, () => {
       this.boot(host);
     });
@@ -210,17 +220,9 @@
 
   private async route(controller: Controller, call: Call): Promise<Answer> {
     const parts = call.path.split('/').slice(1);
-    const route = controller.routes.find(
-      ({ method, path }) =>
-        method === call.method &&
-        path.length === parts.length &&
-        path.every((part, at) => part === '*' || part === parts[at]),
-    );
-    if (!route) return { status: 404, body: {} };
-    const reply = await route.handle(
-      parts.filter((_, at) => route.path[at] === '*'),
-      call.body ?? {},
-    );
+    const found = findRoute(controller.routes, call.method, parts);
+    if (!found) return { status: 404, body: {} };
+    const reply = await found.route.handle(found.args, call.body ?? {});
     return { status: reply.status, body: reply.body };
   }
 
