--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -7,7 +7,6 @@
   less,
   plan,
   RANKS,
-  suits,
   take,
   zoneLimit,
   zonesOf,
@@ -68,7 +67,7 @@
       let place = extra.find((candidate) => open(candidate) && fits(spec, candidate.free));
       if (!place) {
         if (offers.length >= most) return offers;
-        const offer = cheapest(snapshot, spec, lacking, flavors, refused, offers, open, zones);
+        const offer = cheapest(spec, lacking, flavors, refused, offers, open, zones);
         if (!offer) break;
         const flavor = flavors.get(offer.flavor);
         if (!flavor) break;
@@ -88,6 +87,9 @@
   return offers;
 }
 
+/** A machine much dearer for its use than an ordinary one made for it is not worth having. */
+const MOST_TIMES_FAIR = 3;
+
 export function holds(spec: JobSpec, flavor: Flavor): number {
   const per = (have: number, need: number): number => (need > 0 ? have / need : Infinity);
   return Math.floor(
@@ -99,8 +101,18 @@
   );
 }
 
+/** What a task costs on the cheapest ordinary machine that is made for its kind. */
+function fairPrice(spec: JobSpec, flavors: ReadonlyMap<string, Flavor>): number {
+  let fair = Infinity;
+  for (const flavor of flavors.values()) {
+    const allowedType = spec.flavors === null || spec.flavors.includes(flavor.sku);
+    if (allowedType && holds(spec, flavor) > 0)
+      fair = Math.min(fair, flavor.rate / holds(spec, flavor));
+  }
+  return fair;
+}
+
 function cheapest(
-  snapshot: Snapshot,
   spec: JobSpec,
   lacking: number,
   flavors: ReadonlyMap<string, Flavor>,
@@ -110,15 +122,16 @@
   zones: ReadonlyMap<string, number>,
 ): Offer | null {
   let best: { offer: Offer; key: number[] } | null = null;
-  const picky = snapshot.plainFits(spec);
+  const fair = fairPrice(spec, flavors) * MOST_TIMES_FAIR;
   for (const flavor of flavors.values()) {
     const count = Math.min(holds(spec, flavor), lacking);
-    if (count < 1 || (picky && !suits(spec, flavor))) continue;
+    if (count < 1) continue;
     for (const site of flavor.sites)
       for (const reclaimable of spec.reclaimable ? [true, false] : [false]) {
         const offer = { flavor: flavor.sku, site, reclaimable };
-        if (refused.has(offerKey(offer)) || !open(offer)) continue;
         const price = reclaimable ? (flavor.low_price ?? flavor.rate) : flavor.rate;
+        if (refused.has(offerKey(offer)) || !open(offer)) continue;
+        if (price / holds(spec, flavor) > fair) continue;
         const here = taken.filter((other) => other.site === site).length;
         const key = [spec.spread ? (zones.get(site) ?? 0) : 0, price / count, here];
         if (!best || less(key, best.key)) best = { offer, key };
