Delete single silent machines that hold services; make room inside a team's own limit

Cause: replicas on a dead or cut machine stayed down until its lease was over for certain, and a lost replica waited behind arrays of its own team that had filled the limit. Deletion is proof at once; it is kept to a few silent machines among many that speak.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,6 +1,6 @@
 /** What to rent and what to give back: pure functions of a snapshot. */
 import type { Flavor } from '../cloud/client.js';
-import { waitingCount } from '../jobs/life.js';
+import { placedCount, waitingCount } from '../jobs/life.js';
 import {
   allowed,
   fits,
@@ -34,6 +34,18 @@
   return rounds < 1 ? waiting : Math.min(waiting, Math.ceil(waiting / rounds));
 }
 
+function lowerUse(snapshot: Snapshot, job: JobRecord): { cpus: number; cards: number } {
+  const lower = { cpus: 0, cards: 0 };
+  for (const { job: other } of snapshot.jobs) {
+    if (other.s.owner !== job.s.owner) continue;
+    if (RANKS.indexOf(other.s.rank) <= RANKS.indexOf(job.s.rank)) continue;
+    const tasks = placedCount(other);
+    lower.cpus += tasks * other.s.cpus;
+    lower.cards += tasks * other.s.cards;
+  }
+  return lower;
+}
+
 /** Offers to take up so that what waits can run, beyond what the given places (booting ones too) hold. */
 export function wantedRentals(
   snapshot: Snapshot,
@@ -55,10 +67,18 @@
     const limits = snapshot.teams.get(spec.owner);
     const used = snapshot.used.get(spec.owner) ?? { cpus: 0, cards: 0 };
     if (!limits) continue;
+    // What its own team could stop for it does not stand against it.
+    const lower = lowerUse(snapshot, job);
     if (spec.cpus > 0)
-      lacking = Math.min(lacking, Math.floor((limits.cpusMax - used.cpus) / spec.cpus + 1e-6));
+      lacking = Math.min(
+        lacking,
+        Math.floor((limits.cpusMax + lower.cpus - used.cpus) / spec.cpus + 1e-6),
+      );
     if (spec.cards > 0)
-      lacking = Math.min(lacking, Math.floor((limits.cardsMax - used.cards) / spec.cards + 1e-6));
+      lacking = Math.min(
+        lacking,
+        Math.floor((limits.cardsMax + lower.cards - used.cards) / spec.cards + 1e-6),
+      );
     const zones = zonesOf(snapshot, job, []);
     while (lacking > 0) {
       const mostHere = zoneLimit(spec);
--- a/src/fleet/renter.ts
+++ b/src/fleet/renter.ts
@@ -32,6 +32,8 @@
 
 /** Boots that take this many times the usual are given up. */
 const LATE_BOOTS = 4;
+/** Share of its machines up to which a controller takes silence for the machine's own trouble. */
+const MOST_QUIET = 0.25;
 /** A refused offer is asked for again after this many list lags. */
 const REFUSED_LAGS = 2;
 
@@ -310,9 +312,20 @@
     for (const place of surplus(idle, free, used, rate)) this.mark(place.id, 'idle');
   }
 
+  private holdsService(id: string): boolean {
+    for (const uid of this.state.onBox.get(id) ?? [])
+      if (this.state.jobs.get(uid)?.s.shape === 'standing') return true;
+    return false;
+  }
+
   private markOwn(): void {
     const now = this.clock.now();
-    for (const id of Object.keys(this.keeper.own().m)) {
+    const own = Object.keys(this.keeper.own().m);
+    const quiet = own.filter((id) => !this.steward.usable(id)).length;
+    // When many are silent at once, the fault is a zone's or this node's own: they may well be running.
+    const alone =
+      this.figures.rent && own.length > 2 && quiet <= Math.max(1, own.length * MOST_QUIET);
+    for (const id of own) {
       const box = this.state.boxes.get(id);
       const machine = this.steward.machine(id);
       if (!box || !machine || box.going !== undefined) continue;
@@ -320,6 +333,10 @@
       const silence = now - machine.heardAt;
       // Announced, then silent: taken back. A silent one without notice may only be cut off.
       if (machine.warned && box.hold === 'silent') this.mark(id, 'taken');
+      // A few silent machines among many that speak are dead, hung or cut off by themselves. Deleting one is
+      // proof that its tasks are gone, well before its lease is over; services wait for that.
+      else if (alone && box.hold === 'silent' && this.holdsService(id))
+        this.mark(id, 'unreachable');
       else if (machine.lapsed && silence > this.figures.leaseMs * 4) this.mark(id, 'silent');
     }
   }
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -1,7 +1,7 @@
 /** Which tasks stop so that others can start: pure functions of a snapshot. */
 import { compare } from '../domain/dealing.js';
 import { staysOn, waitingCount, wantsRunning } from '../jobs/life.js';
-import type { JobRecord } from '../store/records.js';
+import type { JobRecord, JobSpec } from '../store/records.js';
 import {
   allowed,
   before,
@@ -50,8 +50,10 @@
       const job = jobs.get(uid);
       if (!job) continue;
       for (const { task } of staysOn(job, place.id)) {
-        if (!wantsRunning(job, task)) take(job.s, place.free, -1);
-        else if (job.s.shape !== 'group' || job.s.tasks === 1)
+        if (!wantsRunning(job, task)) {
+          take(job.s, place.free, -1);
+          use(snapshot, job.s, -1);
+        } else if (job.s.shape !== 'group' || job.s.tasks === 1)
           here.push({ victim: { uid, task, box: place.id }, job });
       }
     }
@@ -67,21 +69,59 @@
     // Room in a zone that the job may not use is of no help: stopping for it would go on without end.
     const zones = zonesOf(snapshot, job, placed.get(uid) ?? []);
     for (let left = waitingCount(job) - (placed.get(uid)?.length ?? 0); left > 0; left--) {
-      if (!withinLimit(snapshot, job.s, 1)) break;
-      const room = makeRoom(snapshot, job, running, zones, most - out.length);
+      // A team at its limit makes room for its own higher ranks first.
+      const own = withinLimit(snapshot, job.s, 1) ? [] : ownLower(snapshot, job, running);
+      if (!own || own.length > most - out.length) break;
+      const room = makeRoom(snapshot, job, running, zones, most - out.length - own.length);
       if (!room) break;
-      out.push(...room.stop);
+      out.push(...own, ...room.stop);
       zones.set(room.site, (zones.get(room.site) ?? 0) + 1);
-      const used = snapshot.used.get(job.s.owner) ?? { cpus: 0, cards: 0 };
-      snapshot.used.set(job.s.owner, {
-        cpus: used.cpus + job.s.cpus,
-        cards: used.cards + job.s.cards,
-      });
+      use(snapshot, job.s, 1);
     }
   }
   return out;
 }
 
+function use(snapshot: Snapshot, spec: JobSpec, times: number): void {
+  const used = snapshot.used.get(spec.owner) ?? { cpus: 0, cards: 0 };
+  snapshot.used.set(spec.owner, {
+    cpus: used.cpus + spec.cpus * times,
+    cards: used.cards + spec.cards * times,
+  });
+}
+
+/** Lower-ranked tasks of the job's own team that must stop for its limit to hold one more; null if too few. */
+function ownLower(
+  snapshot: Snapshot,
+  job: JobRecord,
+  running: Map<string, Running[]>,
+): Victim[] | null {
+  const lower = [...running.values()]
+    .flat()
+    .filter(({ job: other }) => other.s.owner === job.s.owner && cost(other) > cost(job))
+    .sort((a, b) => cost(b.job) - cost(a.job) || b.job.at - a.job.at);
+  const stop: Running[] = [];
+  for (const one of lower) {
+    if (withinLimit(snapshot, job.s, 1)) break;
+    stop.push(one);
+    use(snapshot, one.job.s, -1);
+  }
+  const enough = withinLimit(snapshot, job.s, 1);
+  if (!enough) for (const one of stop) use(snapshot, one.job.s, 1);
+  if (!enough) return null;
+  const places = new Map(snapshot.places.map((place) => [place.id, place]));
+  for (const one of stop) {
+    const { box } = one.victim;
+    const place = places.get(box);
+    if (place) take(one.job.s, place.free, -1);
+    running.set(
+      box,
+      (running.get(box) ?? []).filter((other) => other !== one),
+    );
+  }
+  return stop.map((one) => one.victim);
+}
+
 /** The cheapest way to room for one task: none to stop at all if enough is on its way. */
 function makeRoom(
   snapshot: Snapshot,
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -190,3 +190,24 @@
       assert.equal(services.filter((uid) => world.finals.has(uid)).length, 1, 'one was withdrawn');
       for (const host of world.hosts()) world.kill(host, 1e9);
     });
+
+// Found on the bench: replicas on a dead machine stayed down until its lease was over for certain.
+void test('replicas of a machine that dies alone start elsewhere before its lease is over', async () => {
+  const world = new World(5);
+  const spec = { shape: 'standing', rank: 'critical', tasks: 4, expect_s: 0, cpus: 4 } as const;
+  for (let index = 0; index < 4; index++)
+    world.user({ ...spec, owner: index < 2 ? 'red' : 'blue' });
+  for (let index = 0; index < 6; index++)
+    world.user({ owner: index < 3 ? 'red' : 'blue', reclaimable: true, tasks: 12, expect_s: 60 });
+  await world.time.runUntil(60_000);
+  const lost = world.checker.starts.find(({ uid }) => uid === 'j-000000');
+  assert.ok(lost);
+  world.workers.get(lost.box)?.die();
+  await world.time.runUntil(72_000);
+  const again = world.checker.starts.find(
+    ({ uid, now, box }) => uid === 'j-000000' && now > 60_000 && box !== lost.box,
+  );
+  assert.ok(again && again.now < 60_000 + 9000, `started again at ${String(again?.now)}`);
+  assert.deepEqual(world.checker.broken, []);
+  for (const host of world.hosts()) world.kill(host, 1e9);
+});
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -205,6 +205,16 @@
     },
     want: [],
   },
+  {
+    // Found by the stand-ins: a lost replica waited behind arrays that had filled its own team's limit.
+    name: 'a team at its limit stops its own lower ranks',
+    places: [box('1', { used: 4 }), box('2', { used: 4 }), box('3')],
+    jobs: {
+      j: place(job({ owner: 'blue', cpus: 4, tasks: 2 }), ['1', '2']),
+      k: job({ owner: 'blue', shape: 'standing', rank: 'critical' }),
+    },
+    want: ['j/0'],
+  },
   {
     name: 'room that is on its way is not made twice',
     places: [box('1', { used: 4 })],
--- a/test/stand/checker.ts
+++ b/test/stand/checker.ts
@@ -26,7 +26,8 @@
   private readonly asked = new Set<string>();
   private readonly cancelled = new Map<string, number>();
   private readonly done = new Map<string, Set<number>>();
-  started = 0;
+  /** Every start, in order. */
+  readonly starts: { box: string; uid: string; now: number }[] = [];
 
   constructor(private readonly limits: Limits) {}
 
@@ -61,7 +62,7 @@
   }
 
   start(box: string, facts: BoxFacts, uid: string, task: number, now: number): void {
-    this.started++;
+    this.starts.push({ box, uid, now });
     const spec = this.jobs.get(uid);
     const name = `${uid}/${String(task)}`;
     if (!spec) {
@@ -124,6 +125,7 @@
   }
 
   finish(): void {
-    if (this.jobs.size > 0 && this.started === 0) this.note('nothing_ran', 'no task started', 0);
+    if (this.jobs.size > 0 && this.starts.length === 0)
+      this.note('nothing_ran', 'no task started', 0);
   }
 }
