--- a/src/controller.ts
+++ b/src/controller.ts
@@ -88,7 +88,7 @@
         peers: settings.others.map((other) => other.host_name),
         renewMs,
         leaseMs: renewMs * operator.missedRenewals,
-        listMs: leaseMs * 0.7,
+        listMs: leaseMs,
         txnOps: limits.txn_ops,
         // A machine takes its name and term, some 24 bytes.
         maxDomain: Math.floor((valueBytes * 0.9) / 24),
