--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -211,3 +211,23 @@
   assert.deepEqual(world.checker.broken, []);
   for (const host of world.hosts()) world.kill(host, 1e9);
 });
+
+void test('a gang that no domain holds is placed with machines borrowed from peers', async () => {
+  const world = new World(1);
+  const spec = { shape: 'group', tasks: 5, cpus: 8, cards: 0, expect_s: 60 } as const;
+  // One task a machine: the workers claimed by several controllers all come to the one that places it.
+  const uid = world.user({ ...spec, image: 'img-g' });
+  const owners = new Set<string>();
+  for (let s = 5; s < 100; s++)
+    world.time.after(s * 1000, () => {
+      for (const id of world.workers.keys()) owners.add(world.ownerOf(id) ?? '');
+    });
+  await world.time.runUntil(180_000);
+  owners.delete('');
+  assert.ok(owners.size > 1, 'several controllers owned machines');
+  assert.equal(world.finals.get(uid), 'done');
+  const boxes = new Set(world.checker.starts.map(({ box }) => box));
+  assert.equal(boxes.size, 5);
+  assert.deepEqual(world.checker.broken, []);
+  for (const host of world.hosts()) world.kill(host, 1e9);
+});
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -54,6 +54,11 @@
     return { status: 200, body: { lease: Number(extend[1]) } };
   }
 
+  /** What is kept under a key, for tests to look at. */
+  peek(key: string): Body | undefined {
+    return this.keys.get(key)?.value;
+  }
+
   private get(key: string): Answer {
     const kept = this.keys.get(key);
     return kept
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -298,6 +298,15 @@
     return new Promise((resolve) => this.time.after(ms, resolve));
   }
 
+  /** Who holds a machine by the records in the store. */
+  ownerOf(box: string): string | null {
+    for (const host of HOSTS) {
+      const m = this.store.peek(`tv/dom/${host}`)?.['m'];
+      if (typeof m === 'object' && m !== null && box in m) return host;
+    }
+    return null;
+  }
+
   /** Any worker that is up, picked by chance. */
   someWorker(): WorkerStand | undefined {
     const all = [...this.workers.values()];
