Peers hand over what is called off and lost; a refused owner halts it at their word

Cause, by reading for the users' gap: an owner refused by the store alone asked its peers only whether anything was missing. If anything was, it let every task of its machines die by their leases; if the peer that confirmed a cancellation had not had its commit answered (a third controller told the user), it was wrongly told that nothing was, and went on for as long as the outage lasted. Now a peer hands over the cancelled jobs and the machines that left the domain; what is called off is halted without a commit, and the bound stays for peers that are silent.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -14,6 +14,7 @@
 import { StoreClient } from './store/client.js';
 import { Decider } from './store/decider.js';
 import { Follower } from './store/follower.js';
+import { keys } from './store/records.js';
 import { State, type Changed } from './store/state.js';
 import type { Caller } from './wire/client.js';
 import { isMap } from './wire/codec.js';
@@ -50,8 +51,6 @@
   private readonly desk: Desk;
   private readonly decider: Decider;
   private readonly peers: Peers;
-  private readonly store: StoreClient;
-  private readonly startedAt: number;
   private stopped = false;
 
   constructor(
@@ -72,14 +71,18 @@
     // than anybody notices, for each costs processor time as well.
     const gapMs = Math.max((size / (limits.rps * 0.15)) * 1000, reportMs / 50);
 
-    this.startedAt = clock.now();
     const store = new StoreClient(world.store, world.storeWatch, clock, log, reportMs);
-    this.store = store;
     this.peers = new Peers(
+      self,
       new Map(settings.others.map(({ host_name, address }) => [host_name, world.peer(address)])),
       { everyMs: leaseMs / 5, timeoutMs: reportMs, staleMs: leaseMs / 2 },
       clock,
       log,
+      () => this.state.stampOf(keys.domain(self)),
+      (uid) => this.state.jobs.get(uid)?.cancelled === undefined && this.state.jobs.has(uid),
+      (uids) => {
+        for (const uid of uids) this.steward.stepIn(Object.keys(this.state.jobs.get(uid)?.r ?? {}));
+      },
     );
     this.state = new State((changed) => {
       this.changed(changed);
@@ -131,7 +134,8 @@
       log,
       (address) => world.worker(address),
       wake,
-      () => this.peers.vouchedUntil(this.state.replica.generation, this.state.replica.freshAt),
+      () => this.peers.vouchedUntil(this.state.replica.freshAt),
+      this.peers,
     );
     const flavors = () => this.renter.flavors;
     this.placer = new Placer(
@@ -278,7 +282,7 @@
 
   /** Answers to the other controllers. */
   readonly serveMesh: Serve = async (ask, body) => {
-    if (ask === 'testify') return { ...this.testify() };
+    if (ask === 'testify') return { ...this.testify(String(body['host']), Number(body['head'])) };
     const { method, path, body: inner } = body;
     if (ask !== 'user' || !Array.isArray(path) || !isMap(inner))
       throw new Error('unknown question');
@@ -289,12 +293,16 @@
     return { status, body: told, ...(retryAfterS === undefined ? {} : { retryAfterS }) };
   };
 
-  private testify(): Testimony {
-    const now = this.world.clock.now();
+  private testify(asker: string, head: number): Testimony {
+    const { state } = this;
+    const lost = this.follower.loaded ? state.lostSince(asker, head) : null;
+    const cancelled = [...state.jobs].filter(
+      ([, job]) => job.cancelled && Object.keys(job.r).length > 0,
+    );
     return {
-      last: this.store.lastCommit,
-      upMs: now - this.startedAt,
-      ageMs: Math.min(1e9, now - this.state.replica.freshAt),
+      cancelled: cancelled.map(([uid]) => uid),
+      lost: lost && Object.fromEntries(lost),
+      ageMs: Math.min(1e9, this.world.clock.now() - state.replica.freshAt),
       held: this.steward.held(),
     };
   }
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -15,10 +15,13 @@
 
 /** What a controller says of itself when asked. */
 export interface Testimony {
-  /** Generation of the last commit that this process knows to have succeeded. */
-  last: number;
-  /** How long this process has been running, in milliseconds. */
-  upMs: number;
+  /** Jobs that it knows to be cancelled and of which something may still be on a machine. */
+  cancelled: string[];
+  /**
+   * Machines that have left the asker's domain since its head had the stamp that it asked with, and the
+   * stamp of the head by then; null when this process cannot say, for one that it has read no store yet.
+   */
+  lost: Record<string, number> | null;
   /** How old its knowledge of the store is, in milliseconds. */
   ageMs: number;
   /** Its machines on which nothing may be placed: a hint, nothing is proved by it. */
@@ -33,14 +36,27 @@
 /** What the peers say, asked over and over. */
 export class Peers {
   private readonly heard = new Map<string, Heard>();
+  /**
+   * Jobs that a peer has named as cancelled. They are kept when the peer restarts and has forgotten them: it
+   * may have told its users before. Dropped once the own replica says the same.
+   */
+  private readonly calledOff = new Set<string>();
+  /** Machines that a peer has seen leave the own domain, with the head's stamp by then. */
+  private readonly lost = new Map<string, number>();
   private heldNow: ReadonlySet<string> = new Set();
   private stopped = false;
 
   constructor(
+    private readonly self: string,
     private readonly asks: ReadonlyMap<string, Ask>,
     private readonly figures: PeerFigures,
     private readonly clock: Clock,
     private readonly log: Log,
+    /** Stamp of the own domain's head in the replica. */
+    private readonly headStamp: () => number,
+    /** A job that a peer says is cancelled; whether the own replica lacks that. */
+    private readonly isNews: (uid: string) => boolean,
+    private readonly onCalledOff: (uids: string[]) => void,
   ) {}
 
   async run(): Promise<void> {
@@ -55,15 +71,10 @@
     while (!this.stopped) {
       const at = this.clock.now();
       try {
-        const { last, upMs, ageMs, held } = await ask('testify', {}, this.figures.timeoutMs);
-        if (typeof last === 'number' && typeof upMs === 'number' && typeof ageMs === 'number')
-          this.heard.set(host, {
-            last,
-            upMs,
-            ageMs,
-            held: Array.isArray(held) ? held.map(String) : [],
-            at,
-          });
+        const said = readTestimony(
+          await ask('testify', { host: this.self, head: this.headStamp() }, this.figures.timeoutMs),
+        );
+        if (said) this.take(host, { ...said, at });
         this.heldNow = new Set([...this.heard.values()].flatMap((one) => one.held));
       } catch (error) {
         if (!(error instanceof NoAnswer)) throw error;
@@ -73,20 +84,39 @@
     }
   }
 
+  private take(host: string, heard: Heard): void {
+    this.heard.set(host, heard);
+    for (const [box, stamp] of Object.entries(heard.lost ?? {})) this.lost.set(box, stamp);
+    for (const [box, stamp] of this.lost) if (stamp <= this.headStamp()) this.lost.delete(box);
+    for (const uid of this.calledOff) if (!this.isNews(uid)) this.calledOff.delete(uid);
+    const fresh = heard.cancelled.filter((uid) => !this.calledOff.has(uid) && this.isNews(uid));
+    for (const uid of fresh) this.calledOff.add(uid);
+    if (fresh.length > 0) this.onCalledOff(fresh);
+  }
+
+  /** Whether a peer says that the job is cancelled; the own replica may not have heard of it yet. */
+  isCalledOff(uid: string): boolean {
+    return this.calledOff.has(uid);
+  }
+
+  /** Whether a peer says that the machine has left the own domain, though the replica does not yet. */
+  isLost(box: string): boolean {
+    return (this.lost.get(box) ?? 0) > this.headStamp();
+  }
+
   /**
-   * Latest time up to which every commit is known to be in a replica of this generation and freshness,
-   * by the peers' word. Only controllers commit, and each peer says what it has committed: if none has
-   * committed anything newer, and each has run since before the replica was last proved fresh (so no
-   * predecessor of it can have), then nothing was told to a user, or claimed, that the replica lacks.
-   * A peer that says nothing keeps the answer at the replica's own freshness.
+   * Latest time up to which every cancellation that a user was told, and every claim of an own machine, is
+   * known here, by the replica's freshness or by the peers' word. Only controllers confirm and claim, each
+   * of them only what is in its own replica, and each hands over what it knows: the cancelled jobs, which
+   * are halted without waiting for the store, and the machines that it has seen leave this domain, for which
+   * this process then answers no more. A peer that has restarted has read all that its predecessor committed, or else has
+   * nothing to say. A peer that says nothing keeps the answer at the replica's own freshness.
    */
-  vouchedUntil(generation: number, freshAt: number): number {
+  vouchedUntil(freshAt: number): number {
     let until = Infinity;
     for (const host of this.asks.keys()) {
       const heard = this.heard.get(host);
-      // Drift between the two clocks is covered by a hundredth more.
-      if (!heard || heard.last > generation || heard.upMs < (heard.at - freshAt) * 1.01 + 1000)
-        return freshAt;
+      if (!heard || heard.lost === null) return freshAt;
       until = Math.min(until, heard.at);
     }
     return Number.isFinite(until) ? Math.max(freshAt, until) : freshAt;
@@ -125,3 +155,15 @@
     }
   }
 }
+
+const isTextList = (value: unknown): value is string[] =>
+  Array.isArray(value) && value.every((one) => typeof one === 'string');
+
+const isStamps = (value: unknown): value is Record<string, number> =>
+  isMap(value) && Object.values(value).every((stamp) => typeof stamp === 'number');
+
+function readTestimony({ cancelled, lost, ageMs, held }: Body): Testimony | null {
+  if (typeof ageMs !== 'number' || !isTextList(cancelled) || !isTextList(held)) return null;
+  if (lost !== null && !isStamps(lost)) return null;
+  return { cancelled, lost, ageMs, held };
+}
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -42,9 +42,6 @@
 
 /** The state service by its published protocol. Malformed answers count as none. */
 export class StoreClient {
-  /** Generation of the last commit that is known to have succeeded. */
-  lastCommit = 0;
-
   constructor(
     private readonly call: Caller,
     /** Watches hang for long, so they have sockets of their own. */
@@ -69,10 +66,8 @@
           body,
           timeoutMs: this.timeoutMs,
         });
-        if (status === 200 && num(got['generation'])) {
-          this.lastCommit = Math.max(this.lastCommit, got['generation']);
+        if (status === 200 && num(got['generation']))
           return { kind: 'done', generation: got['generation'] };
-        }
         if (status === 409 && num(got['generation']))
           return {
             kind: 'conflict',
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -38,6 +38,8 @@
   touched: Set<string>;
   /** A controller came, went or changed. */
   hosts: boolean;
+  /** Machine -> the controller whose domain it left, if only for another shard. */
+  left: Map<string, string>;
 }
 
 const nothing = (): Changed => ({
@@ -46,8 +48,15 @@
   owned: new Set(),
   touched: new Set(),
   hosts: false,
+  left: new Map(),
 });
 
+/** Machines seen to leave a domain, with the stamp that its head had then; none that left by `since` is among them. */
+interface Losses {
+  since: number;
+  boxes: Map<string, number>;
+}
+
 interface Owner {
   host: string;
   term: number;
@@ -81,6 +90,7 @@
   term = 0;
   /** Counts transactions that gave machines their first holder. */
   newcomers = 0;
+  private readonly losses = new Map<string, Losses>();
   private readonly owners = new Map<string, Owner>();
   private readonly machines = new Map<string, Map<string, number>>();
   private changed = nothing();
@@ -99,6 +109,11 @@
       () => {
         const { changed } = this;
         this.changed = nothing();
+        for (const [box, host] of changed.left)
+          if (this.owners.get(box)?.host !== host) this.noteLost(host, box);
+        for (const host of this.domains.keys())
+          if (!this.losses.has(host))
+            this.losses.set(host, { since: this.stampOf(keys.domain(host)), boxes: new Map() });
         this.onChange(changed);
       },
     );
@@ -108,6 +123,33 @@
     return this.owners.get(box);
   }
 
+  /**
+   * Machines that have left a domain since its head had this stamp; null if that is not known from so far
+   * back. The holder asks with the stamp it has, so what it knows by now need not be remembered.
+   */
+  lostSince(host: string, stamp: number): Map<string, number> | null {
+    const losses = this.losses.get(host);
+    if (!losses) return new Map<string, number>();
+    if (losses.since > stamp) return null;
+    losses.since = stamp;
+    for (const [box, at] of losses.boxes) if (at <= stamp) losses.boxes.delete(box);
+    return losses.boxes;
+  }
+
+  /** Whoever takes a machine away puts the head in the same transaction, so its stamp is that of the loss or newer. */
+  private noteLost(host: string, box: string): void {
+    const losses = this.losses.get(host);
+    if (!losses) return;
+    losses.boxes.delete(box);
+    losses.boxes.set(box, this.stampOf(keys.domain(host)));
+    if (losses.boxes.size <= REMOVED_KEPT) return;
+    for (const [oldest, at] of losses.boxes) {
+      losses.boxes.delete(oldest);
+      losses.since = Math.max(losses.since, at);
+      break;
+    }
+  }
+
   /** The machines of a domain with their terms. */
   machinesOf(host: string): ReadonlyMap<string, number> {
     return this.machines.get(host) ?? new Map<string, number>();
@@ -259,6 +301,7 @@
     this.owners.delete(box);
     this.shared(owner.host).delete(box);
     this.changed.owned.add(box);
+    this.changed.left.set(box, owner.host);
   }
 
   /** A machine's tasks are counted for its domain, or no longer. */
--- a/src/workers/steward.ts
+++ b/src/workers/steward.ts
@@ -88,6 +88,8 @@
     private readonly wake: () => void,
     /** Steady time up to which all cancellations and claims are known here. */
     private readonly knownUntil: () => number,
+    /** What peers say of jobs and machines before the replica does. */
+    private readonly peers: { isCalledOff(uid: string): boolean; isLost(box: string): boolean },
   ) {}
 
   /** A machine that may be given work: seen under the present term, alive, and nothing in doubt. */
@@ -139,7 +141,8 @@
         ? { status: 421, body: { steward: owner.host } }
         : refuse;
     const term = this.keeper.termFor(report.box);
-    if (term === null) return refuse;
+    // An heir that cannot reach the worker counts its lease from the claim on.
+    if (term === null || this.peers.isLost(report.box)) return refuse;
     // The worker has seen a higher term: somebody else owns it by now. It would drop a 200 from here,
     // and stay with this node while its lease runs out.
     if (report.epoch > term) return { status: 421, body: {} };
@@ -268,7 +271,9 @@
     const jobs: [string, JobRecord][] = [];
     for (const uid of this.state.onBox.get(machine.id) ?? []) {
       const job = this.state.jobs.get(uid);
-      if (job) jobs.push([uid, job]);
+      // The users' gap: refused by the store, an owner cannot read a cancellation that a peer has confirmed.
+      // What is called off is halted at a peer's word; that needs no commit and is safe whoever owns it.
+      if (job) jobs.push([uid, this.peers.isCalledOff(uid) ? { ...job, cancelled: true } : job]);
     }
     const { orders, endings } = difference(machine.id, machine.tasks, jobs, (key) =>
       machine.launched.has(key),
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Cut } from './stand/net.js';
+import { at, cutHost, cutWorker, cutZone, deafen } from './stand/troubles.js';
 import { World } from './stand/world.js';
 
 /** Jobs of all shapes over the first minutes, some of them withdrawn. */
@@ -39,30 +39,6 @@
   trouble(world: World): void;
 }
 
-const at = (world: World, s: number, run: () => void): void => {
-  world.time.after(s * 1000, run);
-};
-
-const cut = (world: World, forS: number, mode: Cut['mode'], between: Cut['between']): void => {
-  world.net.cuts.push({ between, mode, until: world.time.now + forS * 1000 });
-};
-
-const cutWorker = (world: World, forS: number, mode: 'drop' | 'hold'): void => {
-  const worker = world.someWorker();
-  if (!worker) return;
-  const names = [worker.id, worker.address];
-  cut(world, forS, mode, (from, to) => names.includes(from) || names.includes(to));
-};
-
-const cutHost = (world: World, host: string, from: RegExp, forS: number): void => {
-  cut(
-    world,
-    forS,
-    'hold',
-    (one, two) => (one === host && from.test(two)) || (two === host && from.test(one)),
-  );
-};
-
 const DAYS: Day[] = [
   { name: 'a quiet day', trouble: () => undefined },
   {
@@ -176,23 +152,6 @@
   },
 ];
 
-/** One way only: what the machine says arrives, what is said to it does not. */
-const deafen = (world: World, forS: number): void => {
-  const worker = world.someWorker();
-  if (!worker) return;
-  cut(world, forS, 'drop', (_, to) => to === worker.id || to === worker.address);
-};
-
-const cutZone = (world: World, site: string, forS: number): void => {
-  const inside = (name: string): boolean => {
-    const worker = world.workers.get(name.split(':')[0] ?? '');
-    if (worker) return worker.facts.site === site;
-    // The controllers stand in zone x.
-    return site === 'x' && world.hosts().includes(name.split(':')[0] ?? '');
-  };
-  cut(world, forS, 'hold', (from, to) => inside(from) !== inside(to));
-};
-
 DAYS.push(
   {
     name: 'machines report, but hear neither answers nor commands',
--- /dev/null
+++ b/test/gap.test.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { at, cut, cutHost } from './stand/troubles.js';
+import { CANCEL_S, World } from './stand/world.js';
+
+/**
+ * The store refuses one owner alone; another controller confirms cancellations; then the store is out for all
+ * for longer than a cancellation has, and the workers go on reporting to the first. Seconds after `REFUSED_S`.
+ */
+const REFUSED_S = 60;
+
+interface Case {
+  name: string;
+  /** When users call jobs off, and through whom; not all are confirmed before the outage. */
+  cancelS: number[];
+  via: string;
+  refused?: string;
+  refusedS?: number;
+  outageS: number;
+  trouble?(world: World): void;
+  /** What is wanted beyond the rule: the owner is told by its peers, and no other task of its machines dies. */
+  spared: 'all' | 'its own' | 'not all';
+}
+
+const CASES: Case[] = [
+  {
+    name: 'refused, confirmed, outage',
+    cancelS: [0.3, 0.8],
+    via: 'b',
+    outageS: 1.5,
+    spared: 'all',
+  },
+  {
+    name: 'confirmed before, at and after the refusal',
+    cancelS: [-0.2, 0, 0.02, 0.4],
+    via: 'c',
+    outageS: 1.2,
+    spared: 'all',
+  },
+  {
+    name: 'the one that rents first is refused',
+    cancelS: [0.3, 0.8],
+    via: 'a',
+    refused: 'c',
+    outageS: 1.5,
+    spared: 'all',
+  },
+  {
+    name: 'the owner confirms and is then refused, another confirms later',
+    cancelS: [-0.1],
+    via: 'a',
+    outageS: 1.5,
+    trouble(world) {
+      at(world, REFUSED_S + 0.5, () => {
+        void world.withdraw('j-000004', 'b');
+      });
+    },
+    spared: 'all',
+  },
+  {
+    name: 'the commit gets no answer, and a third controller tells the user',
+    cancelS: [0.5, 0.6],
+    via: 'b',
+    outageS: 1.8,
+    trouble(world) {
+      world.time.after(REFUSED_S * 1000, () => world.store.unanswered.add('b'));
+      for (const uid of ['j-000000', 'j-000001'])
+        at(world, REFUSED_S + 1.3, () => {
+          void world.withdraw(uid, 'c');
+        });
+    },
+    spared: 'all',
+  },
+  {
+    name: 'the outage comes only when heirs have begun to claim',
+    cancelS: [0.5, 1, 4, 5],
+    via: 'b',
+    outageS: 6,
+    spared: 'not all',
+  },
+  {
+    name: 'the mesh refuses the owner as well',
+    cancelS: [0.3, 0.5, 0.7, 0.9, 1.1, 1.2],
+    via: 'b',
+    outageS: 1.5,
+    trouble(world) {
+      at(world, REFUSED_S, () => {
+        cutHost(world, 'a', /^[bc]:2$/, 60);
+        cut(world, 60, 'drop', (from, to) => to === 'a:2' && /^[bc]$/.test(from));
+      });
+    },
+    spared: 'not all',
+  },
+  {
+    name: 'heirs claim what only the refused one reaches, and it stays refused',
+    cancelS: [0.3, 0.8],
+    via: 'b',
+    refusedS: 150,
+    outageS: 6,
+    trouble(world) {
+      at(world, REFUSED_S, () => {
+        const its = [...world.workers.keys()].filter((id) => world.ownerOf(id) === 'a');
+        cut(world, 150, 'drop', (from, to) => {
+          const ends = [from, to];
+          return (
+            ends.some((end) => /^[bc]$/.test(end)) &&
+            ends.some((end) => its.includes(end.split(':')[0] ?? ''))
+          );
+        });
+      });
+    },
+    spared: 'not all',
+  },
+  ...[0.9, 1.6, 4].map((s): Case => ({
+    name: `the confirming controller ends ${String(s)} s after the refusal and is back at once`,
+    cancelS: [0.3, 0.5],
+    via: 'b',
+    outageS: 1.5,
+    trouble(world) {
+      at(world, REFUSED_S + s, () => {
+        world.kill('b', 200);
+      });
+    },
+    spared: 'not all',
+  })),
+  {
+    name: 'the workers reach no other controller',
+    cancelS: [0.3, 0.8],
+    via: 'b',
+    outageS: 1.5,
+    trouble(world) {
+      at(world, REFUSED_S, () => {
+        cut(world, 60, 'drop', (from, to) => {
+          const ends = [from, to];
+          return ends.some((end) => /^[bc]$/.test(end)) && ends.some((end) => end.startsWith('i-'));
+        });
+      });
+    },
+    spared: 'its own',
+  },
+];
+
+for (const { name, cancelS, via, refused = 'a', refusedS = 14, outageS, trouble, spared } of CASES)
+  for (const seed of [1, 2, 3])
+    void test(`the gap: ${name} (seed ${String(seed)})`, async () => {
+      const world = new World(seed, { capacity: 8 });
+      world.cloud.begin(9);
+      // Nothing but a halt or a lapse ends them in time.
+      for (let index = 0; index < 8; index++)
+        world.user({ owner: index % 2 ? 'red' : 'blue', tasks: 4, expect_s: 1200, cpus: 1 });
+      trouble?.(world);
+      cancelS.forEach((s, index) => {
+        at(world, REFUSED_S + s, () => {
+          void world.withdraw(`j-00000${String(index)}`, via);
+        });
+      });
+      at(world, REFUSED_S, () => world.store.refused.add(refused));
+      at(world, REFUSED_S + refusedS, () => world.store.refused.delete(refused));
+      const outage = (REFUSED_S + outageS) * 1000;
+      at(world, REFUSED_S + outageS, () => {
+        world.store.outage((CANCEL_S + 15) * 1000);
+      });
+      await world.time.runUntil(outage + 1);
+      // The meeting takes place: confirmed elsewhere, still running on machines of the one that is refused.
+      const { checker } = world;
+      const before = checker.running();
+      const owners = new Map(before.map(({ box }) => [box, world.ownerOf(box)]));
+      const told = [...checker.cancelled].filter(([, when]) => when > (REFUSED_S - 1) * 1000);
+      assert.ok(told.length > 0, 'cancellations are confirmed before the outage');
+      assert.ok(
+        outageS > 3 || [...owners.values()].includes(refused),
+        'the refused controller owns machines with tasks',
+      );
+      await world.time.runUntil(outage + (CANCEL_S + 14) * 1000);
+      assert.deepEqual(checker.broken, []);
+      if (spared !== 'not all') {
+        const left = before.filter(
+          ({ uid, box }) =>
+            !checker.cancelled.has(uid) && (spared === 'all' || owners.get(box) === refused),
+        );
+        const now = new Set(
+          checker.running().map(({ uid, task, box }) => `${uid}/${String(task)} ${box}`),
+        );
+        const died = left.filter(({ uid, task, box }) => !now.has(`${uid}/${String(task)} ${box}`));
+        assert.deepEqual(died, [], 'no other task dies for it');
+      }
+      world.checker.troublesOver = outage + (CANCEL_S + 15) * 1000;
+      await world.time.runUntil(outage + (CANCEL_S + 60) * 1000);
+      assert.deepEqual(checker.broken, []);
+      for (const host of world.hosts()) world.kill(host, 1e9);
+    });
--- a/test/stand/checker.ts
+++ b/test/stand/checker.ts
@@ -31,7 +31,8 @@
   private readonly lost = new Set<string>();
   /** When the last trouble was over. */
   troublesOver = 0;
-  private readonly cancelled = new Map<string, number>();
+  /** Job -> when a user was first told that it is cancelled. */
+  readonly cancelled = new Map<string, number>();
   private readonly done = new Map<string, Set<number>>();
   /** Every start, in order. */
   readonly starts: { box: string; uid: string; now: number }[] = [];
@@ -115,6 +116,11 @@
       this.note('quota', `${team} uses ${String(cpus)} cpus, ${String(cards)} cards`, now);
   }
 
+  /** What is on machines now. */
+  running(): readonly Stay[] {
+    return [...this.on.values()];
+  }
+
   end(box: string, uid: string, task: number, completed: boolean): void {
     this.on.delete(`${box} ${uid}/${String(task)}`);
     if (!completed) return;
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -20,6 +20,10 @@
   refused = new Set<string>();
   /** How much longer each request takes. */
   slowMs = 0;
+  /** Hosts whose transactions are carried out at once, but get no answer. */
+  readonly unanswered = new Set<string>();
+  /** Transactions that were carried out and not answered. */
+  answersLost = 0;
 
   /** Puts and deletes that were applied, and transactions that failed on a guard. */
   writes = 0;
@@ -57,7 +61,12 @@
     const refused = this.refused.has('*') || this.refused.has(from);
     if (path === '/changes') return this.changes(url, from);
     if (refused) return { status: 503, body: { error: 'trouble' } };
-    if (path === '/commit') return this.commit(call.body ?? {});
+    if (path === '/commit') {
+      const answer = this.commit(call.body ?? {});
+      if (!this.unanswered.has(from)) return answer;
+      this.answersLost++;
+      return new Promise<Answer>(() => undefined);
+    }
     if (path === '/store') return this.list(url);
     if (path.startsWith('/store/')) return this.get(path.slice('/store/'.length));
     if (path === '/leases') {
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -279,10 +279,11 @@
     }
   }
 
-  async withdraw(uid: string): Promise<void> {
+  /** `via`: the only controller that the user asks; any of them otherwise. */
+  async withdraw(uid: string, via?: string): Promise<void> {
     this.checker.withdrawAsked(uid);
     for (;;) {
-      const { status } = await this.ask(uid, 'POST', `/v2/runs/${uid}/withdraw`, {}, 5000);
+      const { status } = await this.ask(uid, 'POST', `/v2/runs/${uid}/withdraw`, {}, 5000, via);
       if (status === 200 || status === 404) return;
       await this.pause(1000);
     }
@@ -294,12 +295,13 @@
     path: string,
     body: Body | undefined,
     timeoutMs: number,
+    via?: string,
   ): Promise<{ status: number; phase: string | null }> {
     // The load balancer passes over nodes that are down.
     const { hosts } = this.size;
     const alive = hosts.filter((one) => this.processes.get(one)?.alive);
     const from = alive.length > 0 ? alive : hosts;
-    const host = from[this.chance.int(0, from.length - 1)] ?? '';
+    const host = via ?? from[this.chance.int(0, from.length - 1)] ?? '';
     const call: Call = { method, path, timeoutMs, ...(body ? { body } : {}) };
     try {
       const answer = await this.net.caller(
