What is left of a limit's parts goes to the smallest task that waits; strict submissions

(2) Submissions without cards, image_gb, one_zone, spread, reclaimable, expect_s, snapshot_s or flush_s were accepted with defaults; only what may be null may be left out. Change: the smallest waiting task's need is taken out of the others' rests if all together hold it; fields required.

The checker counts jobs that wait 90 s with room, wrong acceptances, late starts after a cancellation and largest jobs begun later than four minutes; each is shown a planted violation.

--- a/src/domain/shares.ts
+++ b/src/domain/shares.ts
@@ -37,11 +37,13 @@
   all: Amount;
   /** What a gang that waits needs at once; nothing less is of use to it. */
   whole: Amount;
+  /** What the smallest task needs. */
+  least: Amount;
 }
 
 /**
  * Takes what is lacking out of what others have unused: so much that everybody has the same unused, or
- * what a gang needs at once. More would only be asked back, and near the limit all would take from each
+ * what a gang or a single task needs at once. More would only be asked back, and near the limit all would take from each
  * other without end.
  */
 export function evenOut(
@@ -63,10 +65,14 @@
         .sort((a, b) => b.free - a.free || (a.host < b.host ? -1 : 1));
       const sum = unused.reduce((total, part) => total + part.free, Math.max(0, mine));
       const mean = sum / (parts.size + 1);
-      const whole = need.whole[kind] - mine;
+      // What is left of each part may be too little for a task, and all of it together enough.
+      const whole =
+        [need.whole[kind], need.least[kind]]
+          .map((unit) => unit - mine)
+          .find((lacks) => lacks > EPS && lacks <= sum - mine + EPS) ?? 0;
       // Half of the way to the mean is not worth a write.
       const even = mean > 2 * Math.max(0, mine) ? Math.min(need.all[kind], mean - mine) : 0;
-      let want = Math.max(even, whole <= sum - mine + EPS ? whole : 0);
+      let want = Math.max(even, whole);
       for (const { host, free: there } of unused) {
         if (want <= EPS || (!others.has(host) && others.size >= most)) break;
         const taken = Math.min(want, whole > 0 ? there : Math.max(0, there - mean));
--- a/src/jobs/submission.ts
+++ b/src/jobs/submission.ts
@@ -7,6 +7,7 @@
 const name = v.pipe(v.string(), v.nonEmpty(), v.maxLength(100));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 
+/** Only what may be null may be left out: a job that lacks anything else is malformed, and never accepted. */
 const Submission = v.object({
   uid: v.pipe(v.string(), v.regex(/^j-[A-Za-z0-9_-]{1,60}$/)),
   jobclass: name,
@@ -15,18 +16,18 @@
   rank: v.picklist(['critical', 'urgent', 'standard', 'idle']),
   tasks: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
   cpus: amount,
-  cards: v.optional(amount, 0),
+  cards: amount,
   memory_gb: amount,
   image: name,
-  image_gb: v.optional(amount, 0),
+  image_gb: amount,
   flavors: v.nullish(v.pipe(v.array(name), v.maxLength(64))),
   site: v.nullish(name),
-  one_zone: v.optional(v.boolean(), false),
-  spread: v.optional(v.boolean(), false),
-  reclaimable: v.optional(v.boolean(), false),
-  expect_s: v.optional(amount, 0),
-  snapshot_s: v.optional(amount, 0),
-  flush_s: v.optional(amount, 0),
+  one_zone: v.boolean(),
+  spread: v.boolean(),
+  reclaimable: v.boolean(),
+  expect_s: amount,
+  snapshot_s: amount,
+  flush_s: amount,
   due_s: v.nullish(amount),
 });
 
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -137,11 +137,15 @@
   };
   const none = { cpus: 0, cards: 0 };
   const whole = known?.whole ?? none;
+  // Parts of a limit are dealt in fractions: without this, what is left of each, too small for a task, would
+  // keep work waiting for good although the team is under its limit.
+  const least =
+    known && known.least.cpus <= spec.cpus ? known.least : { cpus: spec.cpus, cards: spec.cards };
   // An array can do with less; a gang cannot, and a replica ought not to wait for it.
   const first = spec.shape !== 'array' && whole.cpus === 0;
   const times = spec.shape === 'group' ? tasks : 1;
   const unit = { cpus: spec.cpus * times, cards: spec.cards * times };
-  short.set(spec.owner, { all, whole: first ? unit : whole });
+  short.set(spec.owner, { all, whole: first ? unit : whole, least });
 }
 
 /** Notes what is used by tasks that are placed, or no longer used by tasks that are to stop. */
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../src/store/records.js';
-import { Checker } from './stand/checker.js';
+import { Checker, type Room } from './stand/checker.js';
 import { JOB } from './stand/world.js';
 
 const X = { flavor: 'plain', site: 'x', reclaimable: false };
@@ -130,6 +130,57 @@
       checker.answered('j-1', 200, 'cancelled', 0);
     },
   },
+  {
+    rule: 'accepted_wrong',
+    spec: {},
+    show(checker) {
+      checker.submittedWrong('j-2');
+      checker.answered('j-2', 201, 'pending', 0);
+    },
+  },
+  {
+    rule: 'waited',
+    spec: { tasks: 2, cpus: 4 },
+    show(checker) {
+      checker.troublesOver = 10_000;
+      checker.answered('j-1', 201, 'pending', 0);
+      const room = (cpus: number): Room => ({
+        box: 'i-1',
+        facts: X,
+        free: { cpus, cards: 0, memory_gb: 9 },
+      });
+      checker.look(0, [room(4)]);
+      checker.look(20_000, [{ ...room(4), facts: SPOT }, room(3)]);
+      checker.look(40_000, [room(4)]);
+      for (const now of [60_000, 129_000]) {
+        checker.answered('j-1', 200, 'pending', now);
+        checker.look(now, [room(4)]);
+      }
+      assert.deepEqual(checker.broken, [], 'within 90 s of there being room');
+      checker.look(131_000, [room(4)]);
+    },
+  },
+  {
+    rule: 'waited',
+    spec: { shape: 'group', tasks: 2, cpus: 4, one_zone: true },
+    show(checker) {
+      const room = (site: string): Room => ({
+        box: 'i-1',
+        facts: { ...X, site },
+        free: { cpus: 4, cards: 0, memory_gb: 9 },
+      });
+      checker.answered('j-1', 201, 'pending', 0);
+      for (let now = 0; now < 100_000; now += 10_000) {
+        checker.answered('j-1', 200, 'pending', now);
+        checker.look(now, [room('x'), room('y')]);
+      }
+      assert.deepEqual(checker.broken, [], 'no zone has room for all');
+      for (let now = 100_000; now <= 200_000; now += 10_000) {
+        checker.answered('j-1', 200, 'pending', now);
+        checker.look(now, [room('x'), room('x')]);
+      }
+    },
+  },
   { rule: 'nothing_ran', spec: {}, show: () => undefined },
 ];
 
@@ -179,3 +230,22 @@
   submit('j-7', { owner: 'green', jobclass: 'm' });
   assert.deepEqual(checker.unserved(), ['largest of k', 'class m', 'team green', 'largest of m']);
 });
+
+void test('checker: the largest jobs of a class begin within four minutes, and starts after a cancellation count', () => {
+  const checker = new Checker({ teams: new Map([['red', { cpus: 8, cards: 0 }]]), cancelMs: 1000 });
+  for (const [uid, tasks] of [
+    ['j-1', 3],
+    ['j-2', 3],
+    ['j-3', 1],
+  ] as const) {
+    checker.submitted(uid, { ...JOB, tasks }, 5000);
+    checker.answered(uid, 201, 'pending', 5000);
+  }
+  checker.start('i-1', X, 'j-1', 0, 100_000);
+  assert.deepEqual(checker.late(240_000), []);
+  assert.deepEqual(checker.late(246_000), ['j-2']);
+  checker.withdrawAsked('j-1');
+  checker.answered('j-1', 200, 'cancelled', 246_000);
+  checker.start('i-1', X, 'j-1', 1, 246_300);
+  assert.deepEqual(checker.lateStarts, [300]);
+});
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -256,6 +256,7 @@
       world.checker.finish();
       assert.deepEqual(world.checker.broken, []);
       assert.deepEqual(world.checker.unserved(), []);
+      assert.deepEqual(world.checker.late(world.time.now), []);
       const open = [...arrays, ...gangs].filter((uid) => !world.finals.has(uid));
       assert.deepEqual(open, [], 'arrays and gangs all end');
       assert.equal(services.filter((uid) => world.finals.has(uid)).length, 1, 'one was withdrawn');
--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -50,6 +50,7 @@
   others: [number, number][];
   all: number;
   whole?: number;
+  least?: number;
   want: number[] | null;
 }[] = [
   {
@@ -91,6 +92,34 @@
     whole: 6,
     want: [6, 0, 0],
   },
+  {
+    name: 'what one task needs, out of what is too little in each part',
+    own: [5.5, 5],
+    others: [
+      [8.5, 8],
+      [10.5, 10],
+    ],
+    all: 6,
+    least: 1.5,
+    want: [6.5, 8, 10],
+  },
+  {
+    name: 'nothing where all together cannot hold one task',
+    own: [5.5, 5],
+    others: [[8.5, 8]],
+    all: 6,
+    least: 2,
+    want: null,
+  },
+  {
+    name: 'what one task needs, where the gang finds too little',
+    own: [5.5, 5],
+    others: [[8.5, 8]],
+    all: 6,
+    whole: 4,
+    least: 1,
+    want: [6, 8],
+  },
   {
     name: 'nothing for a gang that all together cannot hold',
     own: [2, 0],
@@ -101,7 +130,7 @@
   },
 ];
 
-for (const { name, own, others, all, whole, want } of DEALT)
+for (const { name, own, others, all, whole, least, want } of DEALT)
   void test(`quota is dealt: ${name}`, () => {
     const parts = others.map(
       ([have, use], at) =>
@@ -109,7 +138,7 @@
     );
     const got = evenOut(
       { quota: { red: cpus(own[0]) }, used: used(own[1]) },
-      new Map([['red', { all: cpus(all), whole: cpus(whole ?? 0) }]]),
+      new Map([['red', { all: cpus(all), whole: cpus(whole ?? 0), least: cpus(least ?? 0) }]]),
       new Map(parts),
       9,
     );
--- a/test/stand/checker.ts
+++ b/test/stand/checker.ts
@@ -3,6 +3,18 @@
 /** Troubles over, a job that is not over and has no question answered for this long is forgotten. */
 const FORGOTTEN_MS = 75_000;
 
+/** Troubles over, no job waits for this long while a machine that fits has room and its team is under its limit. */
+const WAIT_MS = 90_000;
+/** The largest jobs of a class, too, begin within this time. */
+const LARGEST_MS = 240_000;
+
+/** A machine that is up, with the room on it. */
+export interface Room {
+  box: string;
+  facts: BoxFacts;
+  free: { cpus: number; cards: number; memory_gb: number };
+}
+
 export interface Limits {
   teams: Map<string, { cpus: number; cards: number }>;
   cancelMs: number;
@@ -34,6 +46,13 @@
   /** Job -> when a user was first told that it is cancelled. */
   readonly cancelled = new Map<string, number>();
   private readonly done = new Map<string, Set<number>>();
+  /** Jobs that can never run or lack a field: none may be accepted. */
+  private readonly impossible = new Set<string>();
+  private readonly submittedAt = new Map<string, number>();
+  /** Job -> machine -> since when the job has waited though that machine has room for it. */
+  private readonly idleSince = new Map<string, Map<string, number>>();
+  /** Starts after a user was told that the job is cancelled: how long after. */
+  readonly lateStarts: number[] = [];
   /** Every start, in order. */
   readonly starts: { box: string; uid: string; now: number }[] = [];
 
@@ -43,8 +62,14 @@
     this.broken.push(`${rule} at ${String(Math.round(now))}: ${what}`);
   }
 
-  submitted(uid: string, spec: JobSpec): void {
+  submitted(uid: string, spec: JobSpec, now = 0): void {
     this.jobs.set(uid, spec);
+    this.submittedAt.set(uid, now);
+  }
+
+  /** A submission that no controller may accept. */
+  submittedWrong(uid: string): void {
+    this.impossible.add(uid);
   }
 
   withdrawAsked(uid: string): void {
@@ -55,7 +80,8 @@
   answered(uid: string, status: number, phase: string | null, now: number): void {
     const before = this.told.get(uid);
     if (status === 200 || status === 201) {
-      if (!this.jobs.has(uid)) this.note('invented', uid, now);
+      if (this.impossible.has(uid)) this.note('accepted_wrong', uid, now);
+      else if (!this.jobs.has(uid)) this.note('invented', uid, now);
       if ((before === 'done' || before === 'cancelled') && phase !== before)
         this.note('went_back', `${uid}: ${before}, then ${String(phase)}`, now);
       if (phase === 'cancelled' && !this.asked.has(uid))
@@ -83,6 +109,7 @@
       if (stay.task === task && stay.box !== box)
         this.note('ran_twice', `${name} on ${box} and ${stay.box}`, now);
     const cancelledAt = this.cancelled.get(uid);
+    if (cancelledAt !== undefined) this.lateStarts.push(now - cancelledAt);
     if (cancelledAt !== undefined && now > cancelledAt + this.limits.cancelMs)
       this.note('ran_cancelled', `${name} starts`, now);
     const sites = others.map((stay) => this.facts.get(stay.box)?.site ?? '');
@@ -130,8 +157,9 @@
   }
 
   /** A look at the world as a whole, at any time. */
-  look(now: number): void {
+  look(now: number, rooms: readonly Room[] = []): void {
     this.checkForgotten(now);
+    if (now >= this.troublesOver) this.checkWaiting(now, rooms);
     for (const stay of this.on.values()) {
       const cancelledAt = this.cancelled.get(stay.uid);
       if (cancelledAt !== undefined && now > cancelledAt + this.limits.cancelMs)
@@ -150,6 +178,83 @@
     }
   }
 
+  private checkWaiting(now: number, rooms: readonly Room[]): void {
+    for (const [uid, phase] of this.told) {
+      const spec = this.jobs.get(uid);
+      const over = phase === 'done' || phase === 'cancelled' || this.asked.has(uid);
+      const fitting = spec && !over ? this.fitting(uid, spec, rooms) : [];
+      const before = this.idleSince.get(uid);
+      const since = new Map(fitting.map((box) => [box, before?.get(box) ?? now]));
+      this.idleSince.set(uid, since);
+      if (![...since.values()].some((at) => now - at > WAIT_MS)) continue;
+      this.note('waited', `${uid}: there was room`, now);
+      this.idleSince.delete(uid);
+    }
+  }
+
+  /**
+   * Machines with room for a task of the job that waits, its team being under its limit. A gang waits for
+   * room for all its tasks: once there is, that counts as one machine.
+   */
+  private fitting(uid: string, spec: JobSpec, rooms: readonly Room[]): string[] {
+    const on = [...this.on.values()].filter((stay) => stay.uid === uid);
+    const done = this.done.get(uid)?.size ?? 0;
+    if (spec.shape === 'group' ? on.length > 0 || done > 0 : on.length + done >= spec.tasks)
+      return [];
+    const tasks = spec.shape === 'group' ? spec.tasks : 1;
+    const limit = { cpus: 0, cards: 0, ...this.limits.teams.get(spec.owner) };
+    for (const stay of this.on.values()) {
+      const other = this.jobs.get(stay.uid);
+      if (other?.owner !== spec.owner) continue;
+      limit.cpus -= other.cpus;
+      limit.cards -= other.cards;
+    }
+    if (limit.cpus < tasks * spec.cpus || limit.cards < tasks * spec.cards) return [];
+    const boxes: string[] = [];
+    const sites = new Map<string, number>();
+    for (const { box, facts, free } of rooms) {
+      const { site } = facts;
+      const taken = on.filter((stay) => this.facts.get(stay.box)?.site === site).length;
+      if (
+        (spec.flavors && !spec.flavors.includes(facts.flavor)) ||
+        (spec.site !== null && spec.site !== site) ||
+        (facts.reclaimable && !spec.reclaimable) ||
+        (spec.one_zone && taken < on.length) ||
+        (spec.spread && taken >= Math.ceil(spec.tasks / 2))
+      )
+        continue;
+      const fit = [
+        spec.cpus > 0 ? free.cpus / spec.cpus : Infinity,
+        spec.cards > 0 ? free.cards / spec.cards : Infinity,
+        spec.memory_gb > 0 ? free.memory_gb / spec.memory_gb : Infinity,
+      ];
+      const count = Math.floor(Math.min(...fit) + 1e-9);
+      if (count > 0) boxes.push(box);
+      sites.set(site, (sites.get(site) ?? 0) + count);
+    }
+    if (spec.shape !== 'group') return boxes;
+    const held = [...sites.values()].map((count) =>
+      spec.spread ? Math.min(count, Math.ceil(spec.tasks / 2)) : count,
+    );
+    const room = spec.one_zone ? Math.max(0, ...held) : held.reduce((sum, count) => sum + count, 0);
+    return room >= tasks ? ['all'] : [];
+  }
+
+  /** Largest jobs of a class that began later than they should, or have not although it is time. */
+  late(now: number): string[] {
+    const largest = new Map<string, number>();
+    for (const { jobclass, tasks } of this.jobs.values())
+      largest.set(jobclass, Math.max(largest.get(jobclass) ?? 0, tasks));
+    return [...this.jobs]
+      .filter(([uid, spec]) => {
+        if (spec.tasks !== largest.get(spec.jobclass) || this.asked.has(uid)) return false;
+        if (!this.told.has(uid)) return false;
+        const begun = this.starts.find((start) => start.uid === uid)?.now ?? now;
+        return begun - (this.submittedAt.get(uid) ?? 0) > LARGEST_MS;
+      })
+      .map(([uid]) => uid);
+  }
+
   /** Classes, teams and largest jobs of a class of which less than half have begun. */
   unserved(): string[] {
     const begun = new Set(this.starts.map(({ uid }) => uid));
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -1,6 +1,6 @@
 import type { Answer, Call } from '../../src/wire/client.js';
 import type { Body } from '../../src/wire/codec.js';
-import type { VirtualTime } from './time.js';
+import type { Chance, VirtualTime } from './time.js';
 
 interface Kept {
   value: Body;
@@ -24,6 +24,10 @@
   readonly unanswered = new Set<string>();
   /** Transactions that were carried out and not answered. */
   answersLost = 0;
+  /** Share of the transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
+  lateShare = 0;
+  /** Late transactions whose guards held, and those that failed on them. */
+  readonly late = { applied: 0, failed: 0 };
 
   /** Puts and deletes that were applied, and transactions that failed on a guard. */
   writes = 0;
@@ -37,6 +41,7 @@
 
   constructor(
     private readonly time: VirtualTime,
+    private readonly chance: Chance,
     private readonly limits: { value_kb: number; txn_ops: number },
   ) {}
 
@@ -62,7 +67,9 @@
     if (path === '/changes') return this.changes(url, from);
     if (refused) return { status: 503, body: { error: 'trouble' } };
     if (path === '/commit') {
-      const answer = this.commit(call.body ?? {});
+      const { body = {} } = call;
+      if (this.lateShare > 0 && this.chance.hit(this.lateShare)) return this.holdUp(body);
+      const answer = this.commit(body);
       if (!this.unanswered.has(from)) return answer;
       this.answersLost++;
       return new Promise<Answer>(() => undefined);
@@ -83,6 +90,14 @@
     return { status: 200, body: { lease: Number(extend[1]) } };
   }
 
+  private holdUp(body: Body): Promise<Answer> {
+    this.time.after(this.chance.real(2000, 12_000), () => {
+      if (this.commit(structuredClone(body)).status === 200) this.late.applied++;
+      else this.late.failed++;
+    });
+    return new Promise<Answer>(() => undefined);
+  }
+
   /** What is kept under a key, for tests to look at. */
   peek(key: string): Body | undefined {
     return this.keys.get(key)?.value;
--- a/test/stand/worker.ts
+++ b/test/stand/worker.ts
@@ -15,6 +15,8 @@
   gangPeerMs: number;
   flavors: Map<string, { cpus: number; cards: number; memory_gb: number }>;
   spec(uid: string): JobSpec | undefined;
+  /** Told of every task that completes. */
+  done(uid: string): void;
   /** Tasks of a gang's attempt that wait for the others, over all machines. */
   gangs: Map<string, Set<Task>>;
   call(from: string, host: string): Caller;
@@ -238,15 +240,29 @@
   }
 
   private fits(spec: JobSpec, busy: Task[]): boolean {
+    const { cpus, cards, memory_gb } = this.free(busy);
+    return (
+      cpus - spec.cpus > -1e-6 && cards - spec.cards > -1e-6 && memory_gb - spec.memory_gb > -1e-6
+    );
+  }
+
+  /** What is left on the machine beside these tasks; by default all that have not exited. */
+  free(
+    busy = [...this.tasks.values()].filter(({ phase }) => phase !== 'exited'),
+  ): Pick<JobSpec, 'cpus' | 'cards' | 'memory_gb'> {
     const size = this.world.flavors.get(this.facts.flavor);
-    if (!size) return false;
-    let { cpus, cards, memory_gb } = size;
-    for (const other of [...busy.map((task) => this.world.spec(task.uid)), spec]) {
-      cpus -= other?.cpus ?? 0;
-      cards -= other?.cards ?? 0;
-      memory_gb -= other?.memory_gb ?? 0;
+    const left = {
+      cpus: size?.cpus ?? 0,
+      cards: size?.cards ?? 0,
+      memory_gb: size?.memory_gb ?? 0,
+    };
+    for (const { uid } of busy) {
+      const spec = this.world.spec(uid);
+      left.cpus -= spec?.cpus ?? 0;
+      left.cards -= spec?.cards ?? 0;
+      left.memory_gb -= spec?.memory_gb ?? 0;
     }
-    return cpus > -1e-6 && cards > -1e-6 && memory_gb > -1e-6;
+    return left;
   }
 
   private begin(task: Task, spec: JobSpec): void {
@@ -283,6 +299,8 @@
     this.phase(task, 'running');
     this.later(task, runMs, () => {
       const mates = this.world.gangs.get(`${task.uid}#${String(task.attempt)}`) ?? new Set();
+      // By the protocol they complete together or not at all: without one of them, none does.
+      if (mates.size < (this.world.spec(task.uid)?.tasks ?? 0)) return;
       for (const mate of [...mates]) mate.on.exit(mate, 'done');
     });
   }
@@ -322,6 +340,7 @@
     task.cause = cause;
     this.leave(task, cause === 'done');
     this.phase(task, 'exited');
+    if (cause === 'done') this.world.done(task.uid);
   }
 
   /** Off the machine, whatever the reason. */
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -6,7 +6,7 @@
 import type { Answer, Call } from '../../src/wire/client.js';
 import type { Body } from '../../src/wire/codec.js';
 import { findRoute } from '../../src/wire/server.js';
-import { Checker } from './checker.js';
+import { Checker, type Room } from './checker.js';
 import { CloudStand, type FlavorStand } from './cloud.js';
 import { Net } from './net.js';
 import { StoreStand } from './store.js';
@@ -131,6 +131,8 @@
   readonly workers = new Map<string, WorkerStand>();
   readonly specs = new Map<string, JobSpec>();
   readonly finals = new Map<string, string>();
+  /** Called when a task completes, at that moment. */
+  onDone: ((uid: string) => void) | null = null;
   private readonly processes = new Map<string, Process>();
   private readonly workerWorld: WorkerWorld;
   private readonly size: Size;
@@ -141,7 +143,7 @@
     const { hosts, flavors, capacity } = this.size;
     this.chance = new Chance(seed);
     this.net = new Net(this.time, this.chance);
-    this.store = new StoreStand(this.time, this.size.state);
+    this.store = new StoreStand(this.time, this.chance, this.size.state);
     const teams = new Map(
       this.size.teams.map((team) => [team.name, { cpus: team.cpus_max, cards: team.gpus_max }]),
     );
@@ -157,6 +159,7 @@
       gangPeerMs: 4000,
       flavors: new Map(flavors.map((flavor) => [flavor.sku, flavor])),
       spec: (uid) => this.specs.get(uid),
+      done: (uid) => this.onDone?.(uid),
       gangs: new Map(),
       call: (from, host) =>
         this.net.caller(
@@ -190,7 +193,7 @@
       this.boot(host);
     }
     const look = (): void => {
-      this.checker.look(this.time.now);
+      this.checker.look(this.time.now, this.rooms());
       this.time.after(1000, look);
     };
     look();
@@ -248,7 +251,7 @@
     const uid = `j-${String(this.nextJob++).padStart(6, '0')}${suffix}`;
     const spec = { ...JOB, ...overrides };
     this.specs.set(uid, spec);
-    this.checker.submitted(uid, spec);
+    this.checker.submitted(uid, spec, this.time.now);
     void this.submit(uid, spec, withdrawAfterMs);
     return uid;
   }
@@ -321,6 +324,19 @@
     return new Promise((resolve) => this.time.after(ms, resolve));
   }
 
+  /** Room on the machines that are up and can be reached. */
+  private rooms(): Room[] {
+    const up = [...this.workers.values()].filter(
+      ({ dead, sick, hung, id }) => !dead && !sick && !hung && !this.isGoing(id),
+    );
+    return up.map((worker) => ({ box: worker.id, facts: worker.facts, free: worker.free() }));
+  }
+
+  /** Whether the records say that a machine is to be given back: it is no room for anybody. */
+  private isGoing(box: string): boolean {
+    return this.store.under('tv/lot/').some((lot) => box in ((lot['g'] ?? {}) as object));
+  }
+
   /** Who holds a machine by the records in the store. */
   ownerOf(box: string): string | null {
     for (const host of this.size.hosts)
--- /dev/null
+++ b/test/submission.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSubmission } from '../src/jobs/submission.js';
+import { JOB } from './stand/world.js';
+
+const WHOLE = { uid: 'j-000001', ...JOB };
+/** Only what may be null may be left out. */
+const NULLABLE = ['flavors', 'site', 'due_s'];
+
+void test('a submission that lacks a field is malformed, unless the field may be null', () => {
+  assert.ok('spec' in parseSubmission(WHOLE));
+  for (const field of Object.keys(WHOLE)) {
+    const some: Record<string, unknown> = { ...WHOLE };
+    // eslint-disable-next-line @typescript-eslint/no-dynamic-delete -- a copy made for this
+    delete some[field];
+    const nullable = NULLABLE.includes(field);
+    assert.equal('spec' in parseSubmission(some), nullable, `without ${field}`);
+    assert.equal('spec' in parseSubmission({ ...WHOLE, [field]: null }), nullable, `${field} null`);
+  }
+});
+
+void test('a submission with an invalid field is malformed', () => {
+  const cases: [string, unknown][] = [
+    ['uid', 'x-1'],
+    ['shape', 'ring'],
+    ['rank', 'low'],
+    ['tasks', 0],
+    ['tasks', 100_001],
+    ['tasks', 1.5],
+    ['cpus', -1],
+    ['cpus', '2'],
+    ['cards', NaN],
+    ['memory_gb', Infinity],
+    ['one_zone', 1],
+    ['flavors', 'plain'],
+    ['flavors', [1]],
+    ['site', ''],
+    ['due_s', -1],
+  ];
+  for (const [field, value] of cases)
+    assert.ok(
+      'fault' in parseSubmission({ ...WHOLE, [field]: value }),
+      `${field}: ${String(value)}`,
+    );
+});
