--- a/test/stand/net.ts
+++ b/test/stand/net.ts
@@ -14,6 +14,10 @@
 export class Net {
   private readonly handlers = new Map<string, Handler>();
   cuts: Cut[] = [];
+  /** Messages that met a cut, by its mode. */
+  readonly met = { drop: 0, hold: 0 };
+  /** How much longer every message takes. */
+  slowMs = 0;
   /** Copies of calls come once more, this much later, to whoever answers at that address then. */
   echo: { path: string; share: number; afterMs: [number, number] } | null = null;
 
@@ -74,8 +78,9 @@
   }
 
   private pass(from: string, to: string, deliver: () => void): void {
-    const delay = this.chance.real(0.2, 3);
+    const delay = this.chance.real(0.2, 3) + this.slowMs;
     const cut = this.cuts.find((one) => this.time.now < one.until && one.between(from, to));
+    if (cut) this.met[cut.mode]++;
     if (!cut) this.time.after(delay, deliver);
     else if (cut.mode === 'hold')
       this.time.after(cut.until - this.time.now + delay + this.chance.real(0, 500), deliver);
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -292,6 +292,23 @@
     }
   }
 
+  /** A submission that was carried out comes again, perhaps with other fields. */
+  async repeat(uid: string, changed: Body = {}): Promise<number> {
+    const body = { uid, ...this.specs.get(uid), ...changed };
+    return (await this.ask(uid, 'POST', '/v2/runs', body, 5000)).status;
+  }
+
+  /** A submission that no controller may accept; what it was answered at last. */
+  async wrong(body: Body): Promise<number> {
+    const uid = `j-9${String(this.nextJob++).padStart(5, '0')}`;
+    this.checker.submittedWrong(uid);
+    for (;;) {
+      const { status } = await this.ask(uid, 'POST', '/v2/runs', { uid, ...body }, 5000);
+      if (status !== 503 && status !== 0) return status;
+      await this.pause(1000);
+    }
+  }
+
   async ask(
     uid: string,
     method: 'GET' | 'POST',
