A controller cut off from its workers alone hands its domain on before their leases end

Ruled out: a cut zone (machines of all zones at once, of one domain only), a standstill (the other log lines go on). Now a node that hears no worker for 0.4 leases, the store fresh and another controller alive, deletes its own liveness record; heirs claim their lists as of a dead owner. It asks machines one after the other and holds a domain again once one answers.

Test: tasks of the lone controller all live on; without the change it fails in both modes.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -116,6 +116,7 @@
       () => {
         this.steward.ownersChanged(this.keeper.own().m.keys());
       },
+      () => clock.now() - this.state.replica.freshAt < leaseMs * 0.3 && this.steward.cutOff(),
     );
     this.steward = new Steward(
       {
@@ -340,7 +341,8 @@
         method: 'GET',
         path: ['up'],
         handle: () => ({
-          status: this.follower.loaded && this.keeper.registered ? 200 : 503,
+          status:
+            this.follower.loaded && (this.keeper.registered || this.keeper.steppedDown) ? 200 : 503,
           body: {},
         }),
       },
--- a/src/domain/keeper.ts
+++ b/src/domain/keeper.ts
@@ -67,6 +67,8 @@
   private readonly missing = new Map<string, number>();
   /** What the own queues could use beyond the own part of the teams' limits. */
   private readonly short = new Map<string, Lack>();
+  /** Handed its domain on because no worker could be reached; it holds none until one can. */
+  private away = false;
   /** Own machines may have stays that other domains' parts record. */
   private strays = true;
 
@@ -80,8 +82,23 @@
     private readonly wake: () => void,
     /** This process holds its domain from now on. */
     private readonly onHolding: () => void,
+    /** No worker is heard or reached any more, although the store is: the fault is this node's own. */
+    private readonly cutOff: () => boolean,
   ) {}
 
+  /** Holds nothing of its own accord; it can still serve users. */
+  get steppedDown(): boolean {
+    return this.away;
+  }
+
+  /** A worker has answered: the domain may be held again. */
+  reachable(): void {
+    if (!this.away) return;
+    this.away = false;
+    this.log.info('workers are reached again');
+    this.wake();
+  }
+
   get registered(): boolean {
     return this.inc !== null;
   }
@@ -171,6 +188,7 @@
   urgent(): Source[] {
     return [
       { name: 'register', propose: () => this.register() },
+      this.held('step down', () => this.stepDown()),
       this.held('take over', () => this.takeOver()),
       this.held('claim', () => this.claim()),
     ];
@@ -198,7 +216,7 @@
    * many machines there are: a restart in the middle of everybody's must not wait for writes.
    */
   private register(): Proposal | null {
-    if (this.inc !== null || this.lease === null) return null;
+    if (this.inc !== null || this.lease === null || this.away) return null;
     const { self } = this.figures;
     const before = this.own();
     const inc = before.inc + 1;
@@ -232,6 +250,30 @@
     };
   }
 
+  /**
+   * A controller that has lost its workers alone looks alive to all others: nobody would take its machines
+   * over, and their tasks would die by their leases. So it gives up its liveness itself while there is time;
+   * its heirs then claim their lists as of a dead owner. One of the others must be alive, and stay so.
+   */
+  private stepDown(): Proposal | null {
+    const { self } = this.figures;
+    const other = [...this.state.live.keys()].find((host) => host !== self);
+    if (other === undefined || !this.state.live.has(self) || !this.cutOff()) return null;
+    const live = keys.live(self);
+    return {
+      txn: {
+        guards: [this.guard(), this.guardOn(live), this.guardOn(keys.live(other))],
+        apply: [{ delete: live }],
+      },
+      settled: (outcome) => {
+        if (outcome.kind !== 'done') return;
+        this.inc = null;
+        this.away = true;
+        this.log.error({ machines: this.own().m.size }, 'no worker is reached: domain handed on');
+      },
+    };
+  }
+
   private undealt(team: string): Amount {
     const limits = this.teams.get(team);
     const left = { cpus: limits?.cpusMax ?? 0, cards: limits?.cardsMax ?? 0 };
--- a/src/workers/steward.ts
+++ b/src/workers/steward.ts
@@ -62,6 +62,8 @@
 const MAX_ORDERS = 200;
 /** Stopped tasks that a machine goes on showing before its term is raised. */
 const MOST_STOPPED = 16;
+/** Part of a worker's lease without a word of any worker after which this node takes itself for cut off. */
+const CUT_OFF = 0.4;
 /** Clocks drift by up to 0.05% each; a lease is taken as over only after this much more. */
 const DRIFT = 1.002;
 
@@ -77,6 +79,12 @@
   private readonly doubtful = new Set<Machine>();
   private addressAt = -Infinity;
   private burdenedAt = -Infinity;
+  /** Last report or answer of any worker, and last time that this process had stood still. */
+  private contactAt = -Infinity;
+  private steadySince = Infinity;
+  private tickedAt = -Infinity;
+  private probing = false;
+  private probed = 0;
 
   constructor(
     private readonly figures: StewardFigures,
@@ -113,6 +121,7 @@
   async checkin(body: Body): Promise<Reply> {
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
+    this.contactAt = this.clock.now();
     const term = await this.entitled(report);
     if (typeof term !== 'number') return term;
     const machine = this.own(report.box, term);
@@ -376,6 +385,7 @@
       const report = parseReport(body);
       if (!report || report.box !== machine.id || (status !== 200 && status !== 409))
         throw new NoAnswer(`commands: ${String(status)}`);
+      this.contactAt = this.clock.now();
       if (this.machines.get(machine.id) !== machine) return;
       machine.calling = false;
       this.hear(machine, report);
@@ -406,9 +416,51 @@
     return caller;
   }
 
+  /**
+   * Nobody was heard for a good part of a lease, though several own machines had been, and this process has
+   * not stood still meanwhile: their reports would be waiting to be read.
+   */
+  cutOff(): boolean {
+    const now = this.clock.now();
+    const silence = now - Math.max(this.contactAt, this.steadySince);
+    if (silence < this.figures.leaseMs * CUT_OFF || now - this.tickedAt > this.figures.reportMs)
+      return false;
+    let heard = 0;
+    for (const machine of this.machines.values())
+      if (machine.fenced && !machine.lapsed && this.keeper.termFor(machine.id) !== null) heard++;
+    return heard >= 2;
+  }
+
+  /** Cut off, it asks one machine after the other how it is; any answer shows that it is cut off no longer. */
+  private probe(): void {
+    const ids = [...this.state.boxes.keys()];
+    const id = ids[this.probed++ % (ids.length || 1)] ?? '';
+    const address = this.state.boxes.get(id)?.address ?? '';
+    if (this.probing || address === '') return;
+    this.probing = true;
+    this.callerTo(
+      id,
+      address,
+    )({ method: 'GET', path: '/status', timeoutMs: this.figures.callMs })
+      .then(
+        () => {
+          this.keeper.reachable();
+        },
+        (error: unknown) => {
+          if (!(error instanceof NoAnswer)) throw error;
+        },
+      )
+      .finally(() => {
+        this.probing = false;
+      });
+  }
+
   /** Regular look at all machines: leases that have certainly run out, and holds. */
   tick(): void {
     const now = this.clock.now();
+    if (now - this.tickedAt > this.figures.reportMs) this.steadySince = now;
+    this.tickedAt = now;
+    if (this.keeper.steppedDown) this.probe();
     for (const machine of this.machines.values()) {
       const term = this.keeper.termFor(machine.id);
       if (term !== machine.term || machine.lapsed) continue;
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -283,6 +283,41 @@
   for (const host of world.hosts()) world.kill(host, 1e9);
 });
 
+// Found in an incident: a controller that had lost its workers alone kept them until it crashed, 46 s later, and
+// what ran on a third of the machines died by their leases.
+for (const mode of ['hold', 'drop'] as const)
+  void test(`a controller that loses its workers alone hands them on before their leases end (${mode})`, async () => {
+    const world = new World(4, { capacity: 8 });
+    world.cloud.begin(9);
+    for (let index = 0; index < 8; index++)
+      world.user({ owner: index % 2 ? 'red' : 'blue', tasks: 4, expect_s: 1200, cpus: 1 });
+    await world.time.runUntil(60_000);
+    const { checker } = world;
+    const owners = checker.running().map(({ box }) => world.ownerOf(box) ?? '');
+    const count = (host: string): number => owners.filter((one) => one === host).length;
+    const [lone = ''] = [...world.hosts()].sort((a, b) => count(b) - count(a));
+    const its = [...world.workers.keys()].filter((id) => world.ownerOf(id) === lone);
+    const before = checker.running().filter(({ box }) => its.includes(box));
+    assert.ok(its.length >= 2 && before.length > 0, 'it holds machines with tasks');
+    cutHost(world, lone, /^i-/, 60, mode);
+    await world.time.runUntil(115_000);
+    assert.deepEqual(
+      its.filter((id) => world.ownerOf(id) === lone),
+      [],
+    );
+    const now = new Set(checker.running());
+    assert.deepEqual(
+      before.filter((stay) => !now.has(stay)),
+      [],
+      'no task dies for it',
+    );
+    await world.time.runUntil(180_000);
+    const back = [...world.workers.keys()].filter((id) => world.ownerOf(id) === lone);
+    assert.ok(back.length > 0, 'it holds machines again once it reaches them');
+    assert.deepEqual(checker.broken, []);
+    for (const host of world.hosts()) world.kill(host, 1e9);
+  });
+
 void test('a gang that no domain holds is placed with machines borrowed from peers', async () => {
   const world = new World(1);
   const spec = { shape: 'group', tasks: 5, cpus: 8, cards: 0, expect_s: 60 } as const;
--- a/test/stand/troubles.ts
+++ b/test/stand/troubles.ts
@@ -21,11 +21,17 @@
   cut(world, forS, mode, (from, to) => names.includes(from) || names.includes(to));
 };
 
-export const cutHost = (world: World, host: string, from: RegExp, forS: number): void => {
+export const cutHost = (
+  world: World,
+  host: string,
+  from: RegExp,
+  forS: number,
+  mode: Cut['mode'] = 'hold',
+): void => {
   cut(
     world,
     forS,
-    'hold',
+    mode,
     (one, two) => (one === host && from.test(two)) || (two === host && from.test(one)),
   );
 };
--- a/test/stand/worker.ts
+++ b/test/stand/worker.ts
@@ -185,6 +185,10 @@
       this.whenAwake(() => {
         if (this.world.time.now - this.leaseFrom > this.world.leaseMs) this.lapse();
         const { epoch, tenure, orders } = call.body ?? {};
+        if (call.path === '/status') {
+          resolve({ status: 200, body: this.view() });
+          return;
+        }
         if (typeof epoch !== 'number' || typeof tenure !== 'number') {
           resolve({ status: 400, body: {} });
         } else if (epoch < this.epoch || tenure !== this.tenure) {
