A limit of 0 is none: guest teams run; the eldest old array begins before all ranks

The settings give the guest team 0 for guarantee and limit; it was read as "may use nothing", while DEPLOY says that 0 means none. Now the one that is eldest begins with one task before all ranks.

--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -183,6 +183,21 @@
   );
 }
 
+/** An array that has only grown old begins with one task, so that it is not forgotten; the rest waits its turn. */
+function begins(snapshot: Snapshot, { uid, job }: { uid: string; job: JobRecord }): boolean {
+  return job.s.shape === 'array' && urgency(snapshot, uid) === AGED;
+}
+
+/**
+ * The array that has waited longest of those that have grown old without beginning. On a fleet that higher
+ * ranks fill it would never begin in its own; one at a time goes before all ranks, and no more, since there
+ * may be hundreds of them.
+ */
+function eldest(snapshot: Snapshot, jobs: { uid: string; job: JobRecord }[]): string | undefined {
+  const old = jobs.filter((entry) => begins(snapshot, entry));
+  return old.sort((a, b) => a.job.at - b.job.at || compare(a.uid, b.uid))[0]?.uid;
+}
+
 /**
  * Serves the teams in turn: rank first, then teams within their guarantee, then the team that has the
  * least of its share. A job that finds no place is passed over, so that others may use what it cannot.
@@ -191,8 +206,10 @@
   const queues = new Map<string, { uid: string; job: JobRecord; left: number }[]>();
   const sorted = snapshot.jobs
     .map(({ uid, job }) => ({ uid, job, left: waitingCount(job) }))
-    .filter(({ job, left }) => left > 0 && (job.notBefore ?? 0) <= snapshot.wall)
-    .sort((a, b) => before(snapshot, a, b));
+    .filter(({ job, left }) => left > 0 && (job.notBefore ?? 0) <= snapshot.wall);
+  const elder = eldest(snapshot, sorted);
+  const leads = ({ uid }: { uid: string }): number => Number(uid === elder);
+  sorted.sort((a, b) => leads(b) - leads(a) || before(snapshot, a, b));
   // Most of a fleet that has more to do than it can has no room at all.
   const least = sorted.reduce((cpus, { job }) => Math.min(cpus, job.s.cpus), Infinity);
   const roomy = snapshot.places.filter((place) => place.free.cpus > least - EPS);
@@ -209,7 +226,7 @@
       if (!head) continue;
       const part = share(snapshot, team, head.job.s);
       const key = [
-        RANKS.indexOf(head.job.s.rank),
+        RANKS.indexOf(head.job.s.rank) - RANKS.length * leads(head),
         part <= 1 + EPS ? 0 : 1,
         urgency(snapshot, head.uid),
         part,
@@ -222,9 +239,8 @@
     const head = queue[0];
     if (!head) break;
     const already = placed.get(head.uid) ?? [];
-    // What has only grown old begins, so that it is not forgotten; the rest of it waits its turn.
-    const begins = urgency(snapshot, head.uid) === AGED && head.job.s.shape === 'array';
-    const left = begins ? 1 : head.left;
+    const first = begins(snapshot, head);
+    const left = first ? 1 : head.left;
     const boxes = chooseFor(snapshot, roomy, head.job, already, left);
     if (!boxes) {
       reserve(snapshot, roomy, head.uid, head.job, head.left);
@@ -234,7 +250,7 @@
     use(snapshot, head.job.s, boxes.length);
     placed.set(head.uid, [...already, ...boxes]);
     head.left -= boxes.length;
-    if (head.left <= 0 || begins) queue.shift();
+    if (head.left <= 0 || first) queue.shift();
   }
   return [...placed].map(([uid, boxes]) => ({ uid, boxes }));
 }
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -6,11 +6,22 @@
 import { fits, take, type Place, type Snapshot, type TeamShare } from './plan.js';
 import type { Deadlines } from './urgency.js';
 
+/**
+ * A limit of 0 is none (DEPLOY: "0 means none"): such a team has no guarantee and no limit, and takes what
+ * nobody else wants. Large enough for any fleet, small enough to be dealt in parts without rounding.
+ */
+const NO_LIMIT = 1e8;
+
 export function teamShares(settings: Settings): Map<string, TeamShare> {
   return new Map(
     settings.settings.teams.map((team) => [
       team.name,
-      { cpus: team.cpus, cards: team.gpus, cpusMax: team.cpus_max, cardsMax: team.gpus_max },
+      {
+        cpus: team.cpus,
+        cards: team.gpus,
+        cpusMax: team.cpus_max > 0 ? team.cpus_max : NO_LIMIT,
+        cardsMax: team.gpus_max > 0 ? team.gpus_max : NO_LIMIT,
+      },
     ]),
   );
 }
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -339,7 +339,15 @@
 });
 
 void test('on a full fleet with small work arriving all the time, the largest begin within four minutes', async () => {
-  const world = new World(3, { state: { rps: 200, write_rps: 60, value_kb: 8, txn_ops: 20 } });
+  const world = new World(3, {
+    teams: [
+      { name: 'red', cpus: 16, cpus_max: 40, gpus: 4, gpus_max: 8 },
+      { name: 'blue', cpus: 16, cpus_max: 24, gpus: 0, gpus_max: 4 },
+      // A guest without guarantee or limit, with idle work.
+      { name: 'green', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 },
+    ],
+    state: { rps: 200, write_rps: 60, value_kb: 8, txn_ops: 20 },
+  });
   for (let s = 0; s < 300; s += 2)
     world.time.after(s * 1000, () => {
       const owner = (s / 2) % 2 === 0 ? 'red' : 'blue';
@@ -350,6 +358,7 @@
     large.push(
       world.user({ jobclass: 'big', tasks: 400, expect_s: 15, due_s: 40 }),
       world.user({ jobclass: 'gang', shape: 'group', rank: 'urgent', tasks: 4, cards: 2 }),
+      world.user({ jobclass: 'guest', owner: 'green', rank: 'idle', tasks: 99, expect_s: 60 }),
       world.user({ jobclass: 'crew', shape: 'standing', rank: 'critical', tasks: 6, expect_s: 0 }),
     );
   });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { Flavor } from '../src/cloud/client.js';
+import type { Settings } from '../src/config/settings.js';
+import { neverRuns } from '../src/jobs/submission.js';
+import { teamShares } from '../src/placement/snapshot.js';
 import { newJob, place } from '../src/jobs/life.js';
 import { plan, RANKS, type Place, type Snapshot } from '../src/placement/plan.js';
 import { runningOn, victims } from '../src/placement/preempt.js';
@@ -106,6 +110,26 @@
     },
     want: { j: ['1'] },
   },
+  {
+    name: 'of arrays that have grown old, the eldest begins with one task before all ranks',
+    places: [box('1', { used: 2 })],
+    jobs: {
+      j: job({ rank: 'critical' }),
+      k: job({ rank: 'idle', tasks: 5 }, -300_000),
+      l: job({ rank: 'idle', tasks: 5 }, -200_000),
+    },
+    want: { k: ['1'] },
+  },
+  {
+    name: 'and the others that have grown old wait for what is urgent',
+    places: [box('1')],
+    jobs: {
+      j: job({ rank: 'critical' }),
+      k: job({ rank: 'idle', tasks: 5 }, -300_000),
+      l: job({ rank: 'idle', tasks: 5 }, -200_000),
+    },
+    want: { j: ['1'], k: ['1'] },
+  },
   {
     name: 'a spread job puts at most half of its tasks, rounded up, into a zone',
     places: [box('1'), box('2')],
@@ -272,3 +296,17 @@
     const got = stop.map(({ uid, task }) => `${uid}/${String(task)}`);
     assert.deepEqual(got, want);
   });
+
+void test('a team with a limit of 0 has none: it is a guest that takes what nobody else wants', () => {
+  const team = { name: 'green', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 };
+  const settings = {
+    settings: { teams: [team, { ...team, name: 'red', cpus_max: 8, gpus_max: 1 }] },
+  };
+  const teams = teamShares(settings as unknown as Settings);
+  const flavors = new Map([
+    ['plain', { cpus: 8, cards: 4, memory_gb: 64, sites: ['x'] }],
+  ]) as unknown as ReadonlyMap<string, Flavor>;
+  const asked = { ...JOB, shape: 'group', tasks: 25, cpus: 1, cards: 1 } as const;
+  assert.equal(neverRuns({ ...asked, owner: 'green' }, flavors, teams), null);
+  assert.notEqual(neverRuns({ ...asked, owner: 'red' }, flavors, teams), null);
+});
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -145,7 +145,10 @@
     this.net = new Net(this.time, this.chance);
     this.store = new StoreStand(this.time, this.chance, this.size.state);
     const teams = new Map(
-      this.size.teams.map((team) => [team.name, { cpus: team.cpus_max, cards: team.gpus_max }]),
+      this.size.teams.map((team) => [
+        team.name,
+        { cpus: team.cpus_max || Infinity, cards: team.gpus_max || Infinity },
+      ]),
     );
     this.checker = new Checker({ teams, cancelMs: CANCEL_S * 1000 });
     this.workerWorld = {
