--- a/src/controller.ts
+++ b/src/controller.ts
@@ -2,24 +2,24 @@
 import { CloudClient } from './cloud/client.js';
 import type { Operator } from './config/operator.js';
 import type { Settings } from './config/settings.js';
-import { Keeper } from './domain/keeper.js';
-import { Renter } from './fleet/renter.js';
-import { Desk } from './jobs/desk.js';
+import { DomainManager } from './domain/manager.js';
+import { Provisioner } from './fleet/provisioner.js';
+import { JobApi } from './jobs/api.js';
 import type { Log } from './log.js';
 import type { Ask, Serve } from './mesh/link.js';
-import { Peers, type Testimony } from './mesh/peers.js';
+import { Peers, type PeerAcknowledgement } from './mesh/peers.js';
 import { Placer } from './placement/placer.js';
 import { teamShares } from './placement/snapshot.js';
-import { Budget } from './store/budget.js';
+import { RateLimiter } from './store/rate-limiter.js';
 import { StoreClient } from './store/client.js';
-import { Decider } from './store/decider.js';
-import { Follower } from './store/follower.js';
+import { CommitLoop } from './store/commit-loop.js';
+import { ReplicaWatcher } from './store/watcher.js';
 import { keys } from './store/records.js';
 import { State, type Changed } from './store/state.js';
 import type { Caller } from './wire/client.js';
 import { isMap } from './wire/codec.js';
 import { fillPath, findRoute, type Route } from './wire/server.js';
-import { Steward } from './workers/steward.js';
+import { WorkerManager } from './workers/manager.js';
 
 /** The multiples of a deadline that count, by the operators' aims. */
 function deadlineTimes(settings: Settings): number[] {
@@ -29,7 +29,7 @@
 }
 
 /** What a controller needs of the world around it; tests hand in stand-ins. */
-export interface World {
+export interface Dependencies {
   clock: Clock;
   log: Log;
   store: Caller;
@@ -43,22 +43,22 @@
 export class Controller {
   readonly routes: Route[];
   private readonly state: State;
-  private readonly follower: Follower;
-  private readonly keeper: Keeper;
-  private readonly steward: Steward;
+  private readonly watcher: ReplicaWatcher;
+  private readonly domainManager: DomainManager;
+  private readonly workerManager: WorkerManager;
   private readonly placer: Placer;
-  private readonly renter: Renter;
-  private readonly desk: Desk;
-  private readonly decider: Decider;
+  private readonly provisioner: Provisioner;
+  private readonly jobApi: JobApi;
+  private readonly commitLoop: CommitLoop;
   private readonly peers: Peers;
   private stopped = false;
 
   constructor(
     private readonly settings: Settings,
     operator: Operator,
-    private readonly world: World,
+    private readonly dependencies: Dependencies,
   ) {
-    const { clock, log } = world;
+    const { clock, log } = dependencies;
     const { workers, state: limits, cloud, size } = settings.settings;
     const self = settings.host_name;
     const reportMs = workers.report_s * 1000;
@@ -66,15 +66,23 @@
     const valueBytes = limits.value_kb * 1024;
     const renewMs = leaseMs * operator.renewalShare;
     const teams = teamShares(settings);
-    const writes = new Budget(clock, limits.write_rps / size, limits.write_rps / 2);
+    const writes = new RateLimiter(clock, limits.write_rps / size, limits.write_rps / 2);
     // What all controllers together may read by watches and proofs: a part of the requests; and no more often
     // than anybody notices, for each costs processor time as well.
     const gapMs = Math.max((size / (limits.rps * 0.15)) * 1000, reportMs / 50);
 
-    const store = new StoreClient(world.store, world.storeWatch, clock, log, reportMs);
+    const store = new StoreClient(
+      dependencies.store,
+      dependencies.storeWatch,
+      clock,
+      log,
+      reportMs,
+    );
     this.peers = new Peers(
       self,
-      new Map(settings.others.map(({ host_name, address }) => [host_name, world.peer(address)])),
+      new Map(
+        settings.others.map(({ host_name, address }) => [host_name, dependencies.peer(address)]),
+      ),
       { everyMs: leaseMs / 5, timeoutMs: reportMs, staleMs: leaseMs / 2 },
       clock,
       log,
@@ -84,21 +92,22 @@
         return job !== undefined && !job.cancelled;
       },
       (uids) => {
-        for (const uid of uids) this.steward.stepIn(Object.keys(this.state.jobs.get(uid)?.r ?? {}));
+        for (const uid of uids)
+          this.workerManager.stepIn(Object.keys(this.state.jobs.get(uid)?.r ?? {}));
       },
     );
     this.state = new State((changed) => {
       this.changed(changed);
     });
     const wake = (): void => {
-      this.decider.wake();
+      this.commitLoop.wake();
     };
-    this.follower = new Follower(store, this.state, clock, log, {
+    this.watcher = new ReplicaWatcher(store, this.state, clock, log, {
       blockMs: leaseMs / 5,
       pauseMs: reportMs / 5,
       gapMs,
     });
-    this.keeper = new Keeper(
+    this.domainManager = new DomainManager(
       {
         self,
         peers: settings.others.map((other) => other.host_name),
@@ -117,11 +126,11 @@
       log,
       wake,
       () => {
-        this.steward.ownersChanged(this.keeper.own().m.keys());
+        this.workerManager.ownersChanged(this.domainManager.own().m.keys());
       },
-      () => this.replicaAgeMs() < leaseMs * 0.3 && this.steward.cutOff(),
+      () => this.replicaAgeMs() < leaseMs * 0.3 && this.workerManager.cutOff(),
     );
-    this.steward = new Steward(
+    this.workerManager = new WorkerManager(
       {
         self,
         reportMs,
@@ -133,15 +142,15 @@
         callMs: leaseMs / 4,
       },
       this.state,
-      this.keeper,
+      this.domainManager,
       clock,
       log,
-      (address) => world.worker(address),
+      (address) => dependencies.worker(address),
       wake,
       () => this.peers.vouchedUntil(this.state.replica.freshAt),
       this.peers,
     );
-    const flavors = () => this.renter.flavors;
+    const flavors = () => this.provisioner.flavors;
     this.placer = new Placer(
       {
         self,
@@ -156,8 +165,8 @@
         times: deadlineTimes(settings),
       },
       this.state,
-      this.keeper,
-      this.steward,
+      this.domainManager,
+      this.workerManager,
       teams,
       flavors,
       () => this.peers.held(),
@@ -165,7 +174,7 @@
       log,
       wake,
     );
-    this.renter = new Renter(
+    this.provisioner = new Provisioner(
       {
         self,
         rent: operator.rent,
@@ -175,37 +184,37 @@
         txnOps: limits.txn_ops,
         valueBytes,
       },
-      new CloudClient(world.cloud, leaseMs / 4),
+      new CloudClient(dependencies.cloud, leaseMs / 4),
       this.state,
-      this.keeper,
-      this.steward,
+      this.domainManager,
+      this.workerManager,
       this.placer,
       // One controller rents; the others ask little.
-      new Budget(clock, cloud.rps / 2),
+      new RateLimiter(clock, cloud.rps / 2),
       clock,
       log,
       wake,
     );
-    this.desk = new Desk(
+    this.jobApi = new JobApi(
       { self, valueBytes, txnOps: limits.txn_ops, pollMs: 1500, requestMs: 4000 },
       store,
       this.state,
-      this.follower,
+      this.watcher,
       writes,
       teams,
       flavors,
       clock,
       log,
     );
-    this.decider = new Decider(
+    this.commitLoop = new CommitLoop(
       {
-        urgent: [...this.keeper.urgent(), ...this.steward.urgent()],
+        urgent: [...this.domainManager.urgent(), ...this.workerManager.urgent()],
         main: this.placer.source(),
         rest: [
-          this.desk.source(),
-          ...this.renter.sources(),
-          ...this.keeper.sources(),
-          ...this.steward.sources(),
+          this.jobApi.source(),
+          ...this.provisioner.sources(),
+          ...this.domainManager.sources(),
+          ...this.workerManager.sources(),
         ],
       },
       store,
@@ -213,7 +222,7 @@
       writes,
       clock,
       log,
-      () => this.follower.catchUp(reportMs),
+      () => this.watcher.catchUp(reportMs),
       reportMs / 8,
     );
     this.routes = this.makeRoutes();
@@ -223,44 +232,44 @@
   async start(): Promise<void> {
     await Promise.all([
       this.follow(),
-      this.keeper.renewLoop(),
-      this.renterLoop(),
+      this.domainManager.renewLoop(),
+      this.provisionerLoop(),
       this.peers.run(),
     ]);
   }
 
   stop(): void {
     this.stopped = true;
-    this.follower.stop();
-    this.keeper.stop();
+    this.watcher.stop();
+    this.domainManager.stop();
     this.peers.stop();
-    this.decider.stop();
+    this.commitLoop.stop();
   }
 
   private async follow(): Promise<void> {
-    const following = this.follower.run();
-    while (!this.follower.loaded && !this.stopped) await sleep(this.world.clock, 20);
-    await Promise.all([following, this.decider.run(), this.tickLoop()]);
+    const following = this.watcher.run();
+    while (!this.watcher.loaded && !this.stopped) await sleep(this.dependencies.clock, 20);
+    await Promise.all([following, this.commitLoop.run(), this.tickLoop()]);
   }
 
   private async tickLoop(): Promise<void> {
-    let toldAt = this.world.clock.now();
+    let toldAt = this.dependencies.clock.now();
     while (!this.stopped) {
       this.placer.touch();
-      this.steward.tick();
-      if (this.world.clock.now() - toldAt > this.settings.settings.workers.lease_s * 1000) {
-        toldAt = this.world.clock.now();
-        this.world.log.info(this.placer.summary(), 'own domain');
+      this.workerManager.tick();
+      if (this.dependencies.clock.now() - toldAt > this.settings.settings.workers.lease_s * 1000) {
+        toldAt = this.dependencies.clock.now();
+        this.dependencies.log.info(this.placer.summary(), 'own domain');
       }
-      await sleep(this.world.clock, (this.settings.settings.workers.report_s * 1000) / 4);
+      await sleep(this.dependencies.clock, (this.settings.settings.workers.report_s * 1000) / 4);
     }
   }
 
-  private async renterLoop(): Promise<void> {
+  private async provisionerLoop(): Promise<void> {
     while (!this.stopped) {
-      const { clock } = this.world;
+      const { clock } = this.dependencies;
       const from = clock.now();
-      await this.renter.tick();
+      await this.provisioner.tick();
       // Looking over the whole fleet leaves time for all else.
       const everyMs = (this.settings.settings.cloud.list_lag_s * 1000) / 8 || 1000;
       const tookMs = Math.min(clock.now() - from, everyMs);
@@ -271,17 +280,17 @@
   private changed({ jobs, boxes, owned, touched, hosts }: Changed): void {
     for (const uid of jobs) {
       this.placer.noteJob(uid);
-      this.desk.noteJob(uid);
+      this.jobApi.noteJob(uid);
     }
     for (const id of boxes) {
       this.placer.noteBox(id);
-      this.renter.noteBox(id);
+      this.provisioner.noteBox(id);
     }
     this.placer.noteTasks(touched);
-    this.steward.ownersChanged(owned);
-    this.steward.stepIn(touched);
+    this.workerManager.ownersChanged(owned);
+    this.workerManager.stepIn(touched);
     if (hosts || jobs.size + boxes.size + owned.size > 0) this.placer.touch();
-    this.decider.wake();
+    this.commitLoop.wake();
   }
 
   /** Answers to the other controllers. */
@@ -297,9 +306,9 @@
     return { status, body: told, ...(retryAfterS === undefined ? {} : { retryAfterS }) };
   };
 
-  private testify(asker: string, head: number): Testimony {
+  private testify(asker: string, head: number): PeerAcknowledgement {
     const { state } = this;
-    const lost = this.follower.loaded ? state.lostSince(asker, head) : null;
+    const lost = this.watcher.loaded ? state.lostSince(asker, head) : null;
     const cancelled = [...state.jobs].filter(
       ([, job]) => job.cancelled && Object.keys(job.r).length > 0,
     );
@@ -307,12 +316,12 @@
       cancelled: cancelled.map(([uid]) => uid),
       lost: lost && Object.fromEntries(lost),
       ageMs: Math.min(1e9, this.replicaAgeMs()),
-      held: this.steward.held(),
+      held: this.workerManager.held(),
     };
   }
 
   private replicaAgeMs(): number {
-    return this.world.clock.now() - this.state.replica.freshAt;
+    return this.dependencies.clock.now() - this.state.replica.freshAt;
   }
 
   /** A node that the store does not answer has a peer answer its users, if the store answers that one. */
@@ -339,7 +348,7 @@
         method: 'POST',
         path: ['checkin'],
         kept: true,
-        handle: (_, body) => this.steward.checkin(body),
+        handle: (_, body) => this.workerManager.checkin(body),
       },
       ...this.users.map((route) => this.relayed(route)),
       {
@@ -347,7 +356,9 @@
         path: ['up'],
         handle: () => ({
           status:
-            this.follower.loaded && (this.keeper.registered || this.keeper.steppedDown) ? 200 : 503,
+            this.watcher.loaded && (this.domainManager.registered || this.domainManager.steppedDown)
+              ? 200
+              : 503,
           body: {},
         }),
       },
@@ -355,12 +366,12 @@
   }
 
   private readonly users: Route[] = [
-    { method: 'POST', path: ['v2', 'runs'], handle: (_, body) => this.desk.submit(body) },
-    { method: 'GET', path: ['v2', 'runs', '*'], handle: ([uid]) => this.desk.poll(uid ?? '') },
+    { method: 'POST', path: ['v2', 'runs'], handle: (_, body) => this.jobApi.submit(body) },
+    { method: 'GET', path: ['v2', 'runs', '*'], handle: ([uid]) => this.jobApi.poll(uid ?? '') },
     {
       method: 'POST',
       path: ['v2', 'runs', '*', 'withdraw'],
-      handle: ([uid]) => this.desk.withdraw(uid ?? ''),
+      handle: ([uid]) => this.jobApi.withdraw(uid ?? ''),
     },
   ];
 }
--- a/src/domain/dealing.ts
+++ b/src/domain/dealing.ts
@@ -3,7 +3,7 @@
  * as adjacent to every heir. Each heir gets one machine a round; the machines are taken zone by zone,
  * so that each heir's share holds some of every zone.
  */
-export function deal(
+export function partitionForTakeover(
   machines: { id: string; site: string }[],
   heirs: string[],
 ): Record<string, string[]> {
--- a/src/domain/keeper.ts
+++ b/src/domain/manager.ts
@@ -2,9 +2,9 @@
 import type { Log } from '../log.js';
 import type { TeamShare } from '../placement/plan.js';
 import type { Change, Guard, StoreClient, Txn } from '../store/client.js';
-import type { Proposal, Source } from '../store/decider.js';
+import type { Proposal, Source } from '../store/commit-loop.js';
 import { bytesOf } from '../store/bytes.js';
-import { Draft, FILL, TXN_BYTES } from '../store/draft.js';
+import { TransactionBuilder, FILL, TXN_BYTES } from '../store/transaction-builder.js';
 import {
   asBody,
   keys,
@@ -13,16 +13,16 @@
   type Amount,
   type Domain,
   type ListRecord,
-  type LotRecord,
+  type MachineBatchRecord,
   type ShardRecord,
 } from '../store/records.js';
 import type { State } from '../store/state.js';
 import { NoAnswer } from '../wire/client.js';
-import { compare, deal } from './dealing.js';
+import { compare, partitionForTakeover } from './dealing.js';
 import { layLists, reshard } from './shards.js';
-import { evenOut, takeFrom, type Lack } from './shares.js';
+import { rebalanceQuota, takeFrom, type QuotaShortfall } from './shares.js';
 
-export interface KeeperFigures {
+export interface DomainManagerOptions {
   self: string;
   peers: string[];
   /** Controllers that there are to be. */
@@ -38,7 +38,7 @@
 }
 
 /** A machine that reported and that no domain holds. */
-export interface Newcomer {
+export interface UnownedMachine {
   address: string;
   flavor: string;
   site: string;
@@ -53,7 +53,7 @@
 const UNEVEN = 0.75;
 
 /** This controller's place among its peers: its lease, its domain, and what it takes over from whom. */
-export class Keeper {
+export class DomainManager {
   private lease: number | null = null;
   private leaseUntil = -Infinity;
   /** Incarnation under which the domain is held, or null before that is committed. */
@@ -62,18 +62,18 @@
   private evenAt = -Infinity;
   private dealtAt = -Infinity;
   private stopped = false;
-  private readonly wanted = new Map<string, Newcomer & { since: number }>();
+  private readonly wanted = new Map<string, UnownedMachine & { since: number }>();
   /** Since when a peer has been seen without a lease. */
   private readonly missing = new Map<string, number>();
   /** What the own queues could use beyond the own part of the teams' limits. */
-  private readonly short = new Map<string, Lack>();
+  private readonly short = new Map<string, QuotaShortfall>();
   /** Handed its domain on because no worker could be reached; it holds none until one can. */
   private away = false;
   /** Own machines may have stays that other domains' parts record. */
   private strays = true;
 
   constructor(
-    private readonly figures: KeeperFigures,
+    private readonly figures: DomainManagerOptions,
     private readonly teams: ReadonlyMap<string, TeamShare>,
     private readonly store: StoreClient,
     private readonly state: State,
@@ -143,12 +143,12 @@
   }
 
   /** The own queues could use this much more of a team's limit. */
-  lack(team: string, lack: Lack): void {
+  lack(team: string, lack: QuotaShortfall): void {
     this.short.set(team, lack);
   }
 
   /** Asks for a machine that nobody owns; the claim follows with the others that come meanwhile. */
-  want(id: string, facts: Newcomer): void {
+  want(id: string, facts: UnownedMachine): void {
     // A late copy of a report must not bring a machine back that was given back; names are not used again.
     if (this.state.removed.has(id)) return;
     const since = this.wanted.get(id)?.since ?? this.clock.now();
@@ -458,7 +458,7 @@
     }
   }
 
-  private claiming(claimed: [string, Newcomer][], term: number): Txn {
+  private claiming(claimed: [string, UnownedMachine][], term: number): Txn {
     const { guards, apply } = this.change({ set: new Map(claimed.map(([id]) => [id, term])) });
     guards.push(this.guardOn(keys.newcomers));
     apply.push(this.firstHeld());
@@ -475,14 +475,20 @@
   }
 
   /** Records for machines that have none, by kind. Each has room to mark all of its machines. */
-  private lotsOf(machines: [string, Newcomer][]): LotRecord[] {
-    const lots: LotRecord[] = [];
-    const open = new Map<string, LotRecord>();
+  private lotsOf(machines: [string, UnownedMachine][]): MachineBatchRecord[] {
+    const lots: MachineBatchRecord[] = [];
+    const open = new Map<string, MachineBatchRecord>();
     const most = this.figures.valueBytes * FILL;
     for (const [id, { flavor, site, reclaimable, address, at }] of machines) {
       if (this.state.boxes.has(id)) continue;
       const kind = `${flavor} ${site} ${String(reclaimable)}`;
-      const alone: LotRecord = { f: flavor, s: site, r: reclaimable, at, b: { [id]: address } };
+      const alone: MachineBatchRecord = {
+        f: flavor,
+        s: site,
+        r: reclaimable,
+        at,
+        b: { [id]: address },
+      };
       const lot = open.get(kind);
       if (lot && lotBytes(lot) + lotBytes(alone) < most) lot.b[id] = address;
       else {
@@ -543,7 +549,7 @@
     const most =
       Math.max(0, ...[...parts.keys()].map((host) => this.state.partKeys(host).length)) + 1;
     const peers = Math.min(txnOps - 1, Math.floor((4 * txnOps - 1) / most));
-    const dealt = evenOut(mine, this.short, parts, peers);
+    const dealt = rebalanceQuota(mine, this.short, parts, peers);
     this.short.clear();
     if (!dealt) return null;
     const guards: Guard[] = [this.guard()];
@@ -570,17 +576,21 @@
   private adopt(): Proposal | null {
     if (!this.strays) return null;
     const { self, txnOps, valueBytes } = this.figures;
-    const draft = new Draft(this.state, self, { txnOps, valueBytes, bytes: TXN_BYTES });
-    draft.guard(this.guard());
+    const transaction = new TransactionBuilder(this.state, self, {
+      txnOps,
+      valueBytes,
+      bytes: TXN_BYTES,
+    });
+    transaction.guard(this.guard());
     for (const host of this.state.parts.keys())
       if (host !== self)
         for (const key of this.state.partKeys(host))
-          if (!draft.adopt(key, (box) => this.termFor(box) !== null)) break;
-    if (draft.size === 0) {
+          if (!transaction.adopt(key, (box) => this.termFor(box) !== null)) break;
+    if (transaction.size === 0) {
       this.strays = false;
       return null;
     }
-    return { txn: draft.txn() };
+    return { txn: transaction.txn() };
   }
 
   /** Machines come back from the largest domain after a takeover, idle ones first. */
@@ -612,7 +622,7 @@
       site: this.state.boxes.get(id)?.site ?? '',
     }));
     const alive = peers.filter((peer) => this.state.live.has(peer));
-    const lists = deal(machines, alive.length > 0 ? alive : peers);
+    const lists = partitionForTakeover(machines, alive.length > 0 ? alive : peers);
     const parts = new Map(
       layLists(lists, valueBytes * FILL).map((part, n) => [keys.list(self, n), part]),
     );
--- a/src/domain/shares.ts
+++ b/src/domain/shares.ts
@@ -32,7 +32,7 @@
 }
 
 /** What the own queues could use of a team's limit beyond the own part of it. */
-export interface Lack {
+export interface QuotaShortfall {
   /** In all. */
   all: Amount;
   /** What a gang that waits needs at once; nothing less is of use to it. */
@@ -46,9 +46,9 @@
  * what a gang or a single task needs at once. More would only be asked back, and near the limit all would
  * take from each other without end.
  */
-export function evenOut(
+export function rebalanceQuota(
   own: { quota: Quota; used: Used },
-  lacking: ReadonlyMap<string, Lack>,
+  lacking: ReadonlyMap<string, QuotaShortfall>,
   parts: ReadonlyMap<string, { quota: Quota; used: Used }>,
   most: number,
 ): { own: Quota; others: Map<string, Quota> } | null {
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -10,18 +10,18 @@
   take,
   zoneLimit,
   zonesOf,
-  type Place,
+  type Candidate,
   type Snapshot,
 } from '../placement/plan.js';
 import type { JobRecord, JobSpec } from '../store/records.js';
 
-export interface Offer {
+export interface RentalOffer {
   flavor: string;
   site: string;
   reclaimable: boolean;
 }
 
-export const offerKey = (offer: Offer): string =>
+export const offerKey = (offer: RentalOffer): string =>
   `${offer.flavor} ${offer.site} ${offer.reclaimable ? 'spot' : 'ordinary'}`;
 
 /** How many tasks of the job are worth having room for at once. */
@@ -43,12 +43,12 @@
   flavors: ReadonlyMap<string, Flavor>,
   refused: ReadonlySet<string>,
   most: number,
-): { offers: Offer[]; needed: Set<string> } {
+): { offers: RentalOffer[]; needed: Set<string> } {
   const placements = plan(snapshot);
   const placed = new Map(placements.map(({ uid, boxes }) => [uid, boxes.length]));
   const needed = new Set(placements.flatMap(({ boxes }) => boxes));
-  const offers: Offer[] = [];
-  const extra: Place[] = [];
+  const offers: RentalOffer[] = [];
+  const extra: Candidate[] = [];
   /** Kind of work -> tasks that find no place and could stand beside it. */
   const beside = new Map<string, number>();
   const jobs = [...snapshot.jobs].sort(
@@ -81,7 +81,7 @@
     beside.set(kind, demand);
     while (lacking > 0) {
       const mostHere = zoneLimit(spec);
-      const open = (place: Offer): boolean =>
+      const open = (place: RentalOffer): boolean =>
         allowed(spec, place) && (zones.get(place.site) ?? 0) < mostHere;
       let place = extra.find((candidate) => open(candidate) && fits(spec, candidate.free));
       if (!place) {
@@ -158,11 +158,11 @@
   lacking: number,
   flavors: ReadonlyMap<string, Flavor>,
   refused: ReadonlySet<string>,
-  taken: Offer[],
-  open: (offer: Offer) => boolean,
+  taken: RentalOffer[],
+  open: (offer: RentalOffer) => boolean,
   zones: ReadonlyMap<string, number>,
-): Offer | null {
-  let best: { offer: Offer; key: number[] } | null = null;
+): RentalOffer | null {
+  let best: { offer: RentalOffer; key: number[] } | null = null;
   const fair = fairPrice(spec, flavors) * MOST_TIMES_FAIR;
   const quickest = Math.min(...[...flavors.values()].map((flavor) => flavor.ready_s));
   for (const flavor of flavors.values()) {
@@ -188,13 +188,13 @@
  * Idle machines that can go: the dearest first, as long as enough room stays free for what comes next.
  */
 export function surplus(
-  idle: Place[],
+  idle: Candidate[],
   freeCpus: number,
   usedCpus: number,
-  rate: (place: Place) => number,
-): Place[] {
+  rate: (place: Candidate) => number,
+): Candidate[] {
   const reserve = usedCpus / 4;
-  const out: Place[] = [];
+  const out: Candidate[] = [];
   let free = freeCpus;
   for (const place of [...idle].sort((a, b) => rate(b) - rate(a))) {
     const cpuOnly = place.size.cards === 0;
--- a/src/fleet/renter.ts
+++ b/src/fleet/provisioner.ts
@@ -1,28 +1,28 @@
 import type { Clock } from '../clock.js';
 import type { CloudClient, Flavor, Rental } from '../cloud/client.js';
-import type { Keeper } from '../domain/keeper.js';
+import type { DomainManager } from '../domain/manager.js';
 import { compare } from '../domain/dealing.js';
 import { without } from '../jobs/life.js';
 import type { Log } from '../log.js';
 import type { Placer } from '../placement/placer.js';
-import type { Place } from '../placement/plan.js';
-import type { Budget } from '../store/budget.js';
+import type { Candidate } from '../placement/plan.js';
+import type { RateLimiter } from '../store/rate-limiter.js';
 import type { Change, Guard } from '../store/client.js';
-import type { Proposal, Source } from '../store/decider.js';
-import { FILL } from '../store/draft.js';
+import type { Proposal, Source } from '../store/commit-loop.js';
+import { FILL } from '../store/transaction-builder.js';
 import {
   asBody,
   keys,
   type FleetRecord,
-  type LotRecord,
+  type MachineBatchRecord,
   type RentalClaim,
 } from '../store/records.js';
 import type { State } from '../store/state.js';
 import { NoAnswer } from '../wire/client.js';
-import type { Steward } from '../workers/steward.js';
+import type { WorkerManager } from '../workers/manager.js';
 import { offerKey, surplus, wantedRentals } from './plan.js';
 
-export interface RenterFigures {
+export interface ProvisionerOptions {
   self: string;
   rent: boolean;
   idleBoots: number;
@@ -48,7 +48,7 @@
 const REFUSED_LAGS = 2;
 
 /** Rents and returns machines. Renting is one controller's duty at a time; each owner returns its own. */
-export class Renter {
+export class Provisioner {
   flavors: ReadonlyMap<string, Flavor> = new Map();
   private flavorsAt = -Infinity;
   private listedAt = -Infinity;
@@ -67,16 +67,16 @@
   private readonly unseen = new Map<string, number>();
   private wanted: RentalClaim[] = [];
   private marks = new Map<string, string>();
-  private newcomers = new Map<string, LotRecord>();
+  private newcomers = new Map<string, MachineBatchRecord>();
 
   constructor(
-    private readonly figures: RenterFigures,
+    private readonly figures: ProvisionerOptions,
     private readonly cloud: CloudClient,
     private readonly state: State,
-    private readonly keeper: Keeper,
-    private readonly steward: Steward,
+    private readonly domainManager: DomainManager,
+    private readonly workerManager: WorkerManager,
     private readonly placer: Placer,
-    private readonly budget: Budget,
+    private readonly limiter: RateLimiter,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly wake: () => void,
@@ -100,7 +100,7 @@
   /** One look at what is wanted and what is; called about once a second. */
   async tick(): Promise<void> {
     await this.refreshFlavors();
-    if (!this.keeper.registered) return;
+    if (!this.domainManager.registered) return;
     if (this.onDuty()) {
       await this.refreshList();
       this.ask();
@@ -116,9 +116,9 @@
   private async refreshFlavors(): Promise<void> {
     const now = this.clock.now();
     const every = this.figures.listLagMs * (this.flavors.size === 0 ? 0.1 : 5);
-    if (now - this.flavorsAt < every || this.budget.waitMs(1) > 0) return;
+    if (now - this.flavorsAt < every || this.limiter.waitMs(1) > 0) return;
     this.flavorsAt = now;
-    this.budget.take(1);
+    this.limiter.take(1);
     await this.quietly('machine types', async () => {
       this.flavors = await this.cloud.flavors();
       this.placer.newFlavors();
@@ -127,12 +127,12 @@
 
   private onDuty(): boolean {
     const { fleet } = this.state;
-    return fleet?.holder === this.figures.self && fleet.inc === this.keeper.incarnation;
+    return fleet?.holder === this.figures.self && fleet.inc === this.domainManager.incarnation;
   }
 
   private proposeDuty(): Proposal | null {
     const { fleet } = this.state;
-    if (!this.keeper.registered || this.onDuty()) return null;
+    if (!this.domainManager.registered || this.onDuty()) return null;
     // A holder that restarted takes the duty again itself; one that is gone leaves it to the first.
     if (fleet && fleet.holder !== this.figures.self) {
       if (this.state.live.has(fleet.holder)) return null;
@@ -141,13 +141,13 @@
     }
     const next: FleetRecord = {
       holder: this.figures.self,
-      inc: this.keeper.incarnation,
+      inc: this.domainManager.incarnation,
       seq: fleet?.seq ?? 0,
       claims: fleet?.claims ?? [],
     };
     return {
       txn: {
-        guards: [this.keeper.guard(), this.guardOn(keys.fleet)],
+        guards: [this.domainManager.guard(), this.guardOn(keys.fleet)],
         apply: [{ put: keys.fleet, value: asBody(next) }],
       },
       settled: (outcome) => {
@@ -162,7 +162,7 @@
     if (!this.figures.rent || !fleet || fleet.claims.length > 0 || this.flavors.size === 0) return;
     const now = this.clock.now();
     for (const [key, until] of this.refused) if (until <= now) this.refused.delete(key);
-    const places: Place[] = [];
+    const places: Candidate[] = [];
     for (const [id, box] of this.state.boxes) {
       const flavor = this.flavors.get(box.flavor);
       if (!flavor || box.going !== undefined) continue;
@@ -199,7 +199,7 @@
     const next: FleetRecord = { ...fleet, seq: fleet.seq + claims.length, claims };
     return {
       txn: {
-        guards: [this.keeper.guard(), this.guardOn(keys.fleet)],
+        guards: [this.domainManager.guard(), this.guardOn(keys.fleet)],
         apply: [{ put: keys.fleet, value: asBody(next) }],
       },
       settled: (outcome) => {
@@ -213,9 +213,9 @@
     if (!this.onDuty()) return;
     for (const claim of this.state.fleet?.claims ?? []) {
       if (this.asking.has(claim.claim) || this.answered.has(claim.claim)) continue;
-      if (this.budget.waitMs(1) > 0) break;
+      if (this.limiter.waitMs(1) > 0) break;
       this.asking.add(claim.claim);
-      this.budget.take(1);
+      this.limiter.take(1);
       void this.quietly('rent', async () => {
         const boxes = await this.cloud.rent(claim);
         this.log.info({ ...claim, got: boxes?.length ?? 0 }, 'rental answered');
@@ -254,7 +254,13 @@
         const some = fresh.slice(from, from + most);
         const { flavor, site, reclaimable } = claim;
         const b = Object.fromEntries(some.map((id) => [id, '']));
-        const lot: LotRecord = { f: flavor, s: site, r: reclaimable, at: this.clock.wall(), b };
+        const lot: MachineBatchRecord = {
+          f: flavor,
+          s: site,
+          r: reclaimable,
+          at: this.clock.wall(),
+          b,
+        };
         mine.push({ put: keys.lot(`${claim.claim}.${String(from)}`), value: asBody(lot) });
       }
       // Beside them: the duty's record, the turnstile of newcomers, and a shard of each live controller.
@@ -268,9 +274,9 @@
       ...fleet,
       claims: fleet.claims.filter((one) => !taken.includes(one)),
     };
-    const dealt = this.keeper.dealNew(boxes, txnOps - lots.length - 1);
+    const dealt = this.domainManager.dealNew(boxes, txnOps - lots.length - 1);
     const guards: Guard[] = [
-      this.keeper.guard(),
+      this.domainManager.guard(),
       this.guardOn(keys.fleet),
       ...dealt.guards,
       ...lots.map((lot) => ({ key: 'put' in lot ? lot.put : '', stamp: 0 })),
@@ -285,9 +291,9 @@
 
   private async refreshList(): Promise<void> {
     const now = this.clock.now();
-    if (now - this.listedAt < this.figures.listLagMs / 2 || this.budget.waitMs(1) > 0) return;
+    if (now - this.listedAt < this.figures.listLagMs / 2 || this.limiter.waitMs(1) > 0) return;
     this.listedAt = now;
-    this.budget.take(1);
+    this.limiter.take(1);
     await this.quietly('machine list', async () => {
       this.listed = new Map((await this.cloud.rentals()).map((rental) => [rental.uid, rental]));
       this.compareList();
@@ -322,7 +328,7 @@
   private adopt(rental: Rental, going: string | undefined): void {
     const { uid, address, flavor, site, reclaimable } = rental;
     const at = this.clock.wall() - rental.held_s * 1000;
-    const lot: LotRecord = { f: flavor, s: site, r: reclaimable, at, b: { [uid]: '' } };
+    const lot: MachineBatchRecord = { f: flavor, s: site, r: reclaimable, at, b: { [uid]: '' } };
     if (going !== undefined) lot.g = { [uid]: going };
     this.log.info({ box: uid, phase: rental.phase, address }, 'machine without a record');
     this.newcomers.set(uid, lot);
@@ -333,9 +339,9 @@
     const wall = this.clock.wall();
     for (const [id, box] of this.state.boxes) {
       if (box.address !== '' || box.going !== undefined) continue;
-      const mine = this.keeper.termFor(id) !== null;
+      const mine = this.domainManager.termFor(id) !== null;
       if (!mine && (this.state.ownerOf(id) || !this.onDuty())) continue;
-      if ((this.steward.machine(id)?.address ?? '') !== '') continue;
+      if ((this.workerManager.machine(id)?.address ?? '') !== '') continue;
       const ready = (this.flavors.get(box.flavor)?.ready_s ?? 60) * 1000;
       if (wall - box.at > ready * LATE_BOOTS) this.mark(id, 'never came up');
     }
@@ -343,7 +349,7 @@
 
   private findIdle(): void {
     const now = this.clock.now();
-    const idle: Place[] = [];
+    const idle: Candidate[] = [];
     let free = 0;
     let used = 0;
     for (const [id, box] of this.state.boxes) {
@@ -359,7 +365,7 @@
       if (!busy && now - since > ready * this.figures.idleBoots) idle.push(place);
     }
     if (!this.figures.rent) return;
-    const rate = (place: Place): number => {
+    const rate = (place: Candidate): number => {
       const flavor = this.flavors.get(place.flavor);
       return (place.reclaimable ? flavor?.low_price : flavor?.rate) ?? 0;
     };
@@ -374,23 +380,23 @@
 
   private markOwn(): void {
     const now = this.clock.now();
-    const own = [...this.keeper.own().m.keys()];
-    const up = own.filter((id) => (this.steward.machine(id)?.address ?? '') !== '');
-    const quiet = up.filter((id) => !this.steward.usable(id)).length;
+    const own = [...this.domainManager.own().m.keys()];
+    const up = own.filter((id) => (this.workerManager.machine(id)?.address ?? '') !== '');
+    const quiet = up.filter((id) => !this.workerManager.usable(id)).length;
     // When many are silent at once, the fault is a zone's or this node's own: they may well be running.
     const alone =
       this.figures.rent && up.length > 2 && quiet <= Math.max(1, up.length * MOST_QUIET);
     for (const id of up) {
       const box = this.state.boxes.get(id);
-      const machine = this.steward.machine(id);
+      const machine = this.workerManager.machine(id);
       if (!box || !machine || box.going !== undefined) continue;
-      const hold = this.steward.holdOf(machine);
+      const hold = this.workerManager.holdOf(machine);
       if (hold === undefined) continue;
       const silence = now - machine.heardAt;
       const patience = alone ? SILENT_LEASES : SILENT_LEASES_MANY;
       if (hold === 'sick') this.mark(id, 'sick');
       // Announced, then silent: taken back. A silent one without notice may only be cut off.
-      else if (machine.warned && this.steward.silent(machine)) this.mark(id, 'taken');
+      else if (machine.warned && this.workerManager.silent(machine)) this.mark(id, 'taken');
       // A few silent machines among many that speak are dead, hung or cut off by themselves. Deleting one is
       // proof that its tasks are gone, well before its lease is over; services wait for that.
       else if (alone && hold === 'silent' && this.holdsService(id)) this.mark(id, 'unreachable');
@@ -404,8 +410,8 @@
   }
 
   private proposeMark(): Proposal | null {
-    const lots = new Map<string, LotRecord>();
-    const guards: Guard[] = [this.keeper.guard()];
+    const lots = new Map<string, MachineBatchRecord>();
+    const guards: Guard[] = [this.domainManager.guard()];
     const marked: { id: string; why: string }[] = [];
     const room = (): boolean => lots.size < this.figures.txnOps;
     for (const [id, lot] of this.newcomers) {
@@ -445,13 +451,13 @@
     for (const [id, box] of this.state.boxes) {
       if (box.going === undefined || this.deleting.has(id) || this.gone.has(id)) continue;
       const owner = this.state.ownerOf(id);
-      if (owner ? this.keeper.termFor(id) === null : !this.onDuty()) continue;
+      if (owner ? this.domainManager.termFor(id) === null : !this.onDuty()) continue;
       // Given back for being idle, it may have been given work just before: that ends first.
       if (box.going === 'idle' && this.state.onBox.has(id)) continue;
       if (due.length < MOST_DELETED) due.push(id);
     }
-    if (due.length === 0 || this.budget.waitMs(1) > 0) return;
-    this.budget.take(1);
+    if (due.length === 0 || this.limiter.waitMs(1) > 0) return;
+    this.limiter.take(1);
     for (const id of due) this.deleting.add(id);
     void this.quietly('give back', async () => {
       await this.cloud.giveBack(due);
@@ -459,7 +465,7 @@
         this.gone.set(id, this.clock.now());
         this.deleted.add(id);
         // The strongest proof there is: the machine and everything on it are gone.
-        if (this.keeper.termFor(id) !== null) this.steward.clear(id, 'back');
+        if (this.domainManager.termFor(id) !== null) this.workerManager.clear(id, 'back');
       }
       this.log.info({ boxes: due }, 'machines given back');
       this.wake();
@@ -469,7 +475,7 @@
   }
 
   private proposeForget(): Proposal | null {
-    const lots = new Map<string, LotRecord>();
+    const lots = new Map<string, MachineBatchRecord>();
     const drop: string[] = [];
     for (const id of this.deleted) {
       const box = this.state.boxes.get(id);
@@ -479,19 +485,19 @@
         this.deleted.delete(id);
         continue;
       }
-      if (this.state.ownerOf(id) && this.keeper.termFor(id) === null) continue;
+      if (this.state.ownerOf(id) && this.domainManager.termFor(id) === null) continue;
       if (this.state.onBox.has(id)) {
-        this.steward.clear(id, 'back');
+        this.workerManager.clear(id, 'back');
         continue;
       }
       if (!lots.has(name) && lots.size >= this.figures.txnOps / 2) continue;
-      const next: LotRecord = { ...lot, b: without(lot.b, id) };
+      const next: MachineBatchRecord = { ...lot, b: without(lot.b, id) };
       if (lot.g) next.g = without(lot.g, id);
       lots.set(name, next);
       drop.push(id);
     }
     if (lots.size === 0) return null;
-    const { guards, apply } = this.keeper.change({ drop });
+    const { guards, apply } = this.domainManager.change({ drop });
     for (const [name, lot] of lots) {
       const key = keys.lot(name);
       guards.push(this.guardOn(key));
--- a/src/jobs/desk.ts
+++ b/src/jobs/api.ts
@@ -2,11 +2,11 @@
 import { within, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
 import type { TeamShare } from '../placement/plan.js';
-import type { Budget } from '../store/budget.js';
+import type { RateLimiter } from '../store/rate-limiter.js';
 import type { Change, Guard, Outcome, StoreClient, Txn } from '../store/client.js';
 import { compare, turnOf } from '../domain/dealing.js';
-import type { Follower } from '../store/follower.js';
-import type { Proposal, Source } from '../store/decider.js';
+import type { ReplicaWatcher } from '../store/watcher.js';
+import type { Proposal, Source } from '../store/commit-loop.js';
 import { asBody, keys, storeJob, type EndRecord, type JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
 import { NoAnswer } from '../wire/client.js';
@@ -15,7 +15,7 @@
 import { doneCount, finalState, newJob, placedCount } from './life.js';
 import { neverRuns, parseSubmission, validUid } from './submission.js';
 
-export interface DeskFigures {
+export interface JobApiOptions {
   self: string;
   valueBytes: number;
   txnOps: number;
@@ -27,13 +27,13 @@
 type Known = { job: JobRecord } | { end: EndRecord } | 'absent' | 'unknown';
 
 /** The users' requests. Nothing is told that is not committed, and nothing non-final that is not current. */
-export class Desk {
+export class JobApi {
   constructor(
-    private readonly figures: DeskFigures,
+    private readonly figures: JobApiOptions,
     private readonly store: StoreClient,
     private readonly state: State,
-    private readonly follower: Follower,
-    private readonly budget: Budget,
+    private readonly watcher: ReplicaWatcher,
+    private readonly limiter: RateLimiter,
     private readonly teams: Map<string, TeamShare>,
     private readonly flavors: () => ReadonlyMap<string, Flavor>,
     private readonly clock: Clock,
@@ -121,7 +121,7 @@
       });
       if (outcome?.kind === 'done') return { status: 200, body: { uid, phase: 'cancelled' } };
       if (outcome?.kind !== 'conflict') return later();
-      if (!(await this.follower.current(this.figures.pollMs))) return later();
+      if (!(await this.watcher.current(this.figures.pollMs))) return later();
     }
     return later();
   }
@@ -171,7 +171,7 @@
   /** What is known of a job as of now; `unknown` when the store cannot be asked. */
   private async lookUp(uid: string, timeoutMs: number): Promise<Known> {
     const until = this.clock.now() + timeoutMs;
-    if (!(await this.follower.current(timeoutMs))) return 'unknown';
+    if (!(await this.watcher.current(timeoutMs))) return 'unknown';
     const job = this.state.jobs.get(uid);
     if (job) return { job };
     const end = this.state.ends.get(uid);
@@ -211,9 +211,9 @@
   }
 
   private async commit(txn: Txn): Promise<Outcome | null> {
-    this.budget.take(txn.apply.length);
+    this.limiter.take(txn.apply.length);
     const work = this.store.commit(txn).then((outcome) => {
-      if (outcome.kind === 'refused') this.budget.refused();
+      if (outcome.kind === 'refused') this.limiter.refused();
       if (outcome.kind === 'done') this.state.replica.applied(txn.apply, outcome.generation);
       return outcome;
     });
--- a/src/jobs/life.ts
+++ b/src/jobs/life.ts
@@ -1,13 +1,13 @@
 import type { JobRecord, JobSpec } from '../store/records.js';
 
 /** A task's stay on a machine. */
-export interface Stay {
+export interface Allocation {
   box: string;
   task: number;
   attempt: number;
 }
 
-export type End =
+export type TaskOutcome =
   /** Completed. */
   | 'done'
   /** Off the machine, not completed: to be started again. */
@@ -19,15 +19,15 @@
   return { s: spec, at, t: 0, n: 0, r: {}, b: [] };
 }
 
-export function* stays(job: JobRecord): Generator<Stay> {
+export function* stays(job: JobRecord): Generator<Allocation> {
   for (const [box, pairs] of Object.entries(job.r))
     for (let at = 0; at + 1 < pairs.length; at += 2)
       yield { box, task: pairs[at] ?? 0, attempt: pairs[at + 1] ?? 0 };
 }
 
-export function staysOn(job: JobRecord, box: string): Stay[] {
+export function staysOn(job: JobRecord, box: string): Allocation[] {
   const pairs = job.r[box] ?? [];
-  const out: Stay[] = [];
+  const out: Allocation[] = [];
   for (let at = 0; at + 1 < pairs.length; at += 2)
     out.push({ box, task: pairs[at] ?? 0, attempt: pairs[at + 1] ?? 0 });
   return out;
@@ -80,9 +80,9 @@
   return next;
 }
 
-export interface Ending {
-  stay: Stay;
-  end: End;
+export interface TaskEnding {
+  stay: Allocation;
+  end: TaskOutcome;
 }
 
 /** How failures of one job hold back its next start: the pause doubles, up to 32 of them. */
@@ -92,7 +92,7 @@
 /** Takes tasks off their machines. Only proof that a task is off its machine may lead here. */
 export function conclude(
   job: JobRecord,
-  endings: Ending[],
+  endings: TaskEnding[],
   wall: number,
   pauseMs: number,
 ): JobRecord {
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -6,7 +6,7 @@
 import type { Reply } from '../wire/server.js';
 import type { Ask } from './link.js';
 
-export interface PeerFigures {
+export interface PeerOptions {
   /** Time between two questions to a peer. */
   everyMs: number;
   timeoutMs: number;
@@ -15,7 +15,7 @@
 }
 
 /** What a controller says of itself when asked. */
-const Testimony = v.object({
+const PeerAcknowledgement = v.object({
   /** Jobs that it knows to be cancelled and of which something may still be on a machine. */
   cancelled: v.array(v.string()),
   /**
@@ -29,9 +29,9 @@
   held: v.array(v.string()),
 });
 
-export type Testimony = v.InferOutput<typeof Testimony>;
+export type PeerAcknowledgement = v.InferOutput<typeof PeerAcknowledgement>;
 
-interface Heard extends Testimony {
+interface Heard extends PeerAcknowledgement {
   /** When the question left, on this process's clock: what was said held no earlier than that. */
   at: number;
 }
@@ -52,7 +52,7 @@
   constructor(
     private readonly self: string,
     private readonly asks: ReadonlyMap<string, Ask>,
-    private readonly figures: PeerFigures,
+    private readonly figures: PeerOptions,
     private readonly clock: Clock,
     private readonly log: Log,
     /** Stamp of the own domain's head in the replica. */
@@ -75,7 +75,10 @@
       const at = this.clock.now();
       try {
         const question = { host: this.self, head: this.headStamp() };
-        const said = v.safeParse(Testimony, await ask('testify', question, this.figures.timeoutMs));
+        const said = v.safeParse(
+          PeerAcknowledgement,
+          await ask('testify', question, this.figures.timeoutMs),
+        );
         if (said.success) this.take(host, { ...said.output, at });
         this.heldNow = new Set([...this.heard.values()].flatMap((one) => one.held));
       } catch (error) {
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -1,20 +1,27 @@
 import type { Cancel, Clock } from '../clock.js';
 import type { Flavor } from '../cloud/client.js';
-import type { Keeper } from '../domain/keeper.js';
+import type { DomainManager } from '../domain/manager.js';
 import { compare, turnOf } from '../domain/dealing.js';
 import { place, waitingCount } from '../jobs/life.js';
 import type { Log } from '../log.js';
-import type { Proposal, Source } from '../store/decider.js';
-import { Draft, TXN_BYTES } from '../store/draft.js';
-import { keys, type Box, type JobRecord } from '../store/records.js';
+import type { Proposal, Source } from '../store/commit-loop.js';
+import { TransactionBuilder, TXN_BYTES } from '../store/transaction-builder.js';
+import { keys, type MachineRecord, type JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
-import type { Steward } from '../workers/steward.js';
-import { Load } from './load.js';
-import { plan, share, type Place, type Placement, type Snapshot, type TeamShare } from './plan.js';
+import type { WorkerManager } from '../workers/manager.js';
+import { QueueUsage } from './usage.js';
+import {
+  plan,
+  share,
+  type Candidate,
+  type Placement,
+  type Snapshot,
+  type TeamShare,
+} from './plan.js';
 import { runningOn, victims } from './preempt.js';
 import { placeOf, snapshotOf } from './snapshot.js';
 
-export interface PlacerFigures {
+export interface PlacerOptions {
   self: string;
   txnOps: number;
   writeRps: number;
@@ -58,16 +65,16 @@
   private borrowedAt = -Infinity;
   private readonly cached = new Map<string, Set<string>>();
   /** Machines as places, until something about them changes. */
-  private readonly spots = new Map<string, Place>();
-  private readonly load = new Load();
+  private readonly spots = new Map<string, Candidate>();
+  private readonly load = new QueueUsage();
   /** Job -> stamp of its record, and when this process first saw that. */
   private readonly seen = new Map<string, { stamp: number; at: number }>();
 
   constructor(
-    private readonly figures: PlacerFigures,
+    private readonly figures: PlacerOptions,
     private readonly state: State,
-    private readonly keeper: Keeper,
-    private readonly steward: Steward,
+    private readonly domainManager: DomainManager,
+    private readonly workerManager: WorkerManager,
     private readonly teams: Map<string, TeamShare>,
     private readonly flavors: () => ReadonlyMap<string, Flavor>,
     /** Machines of peers on which nothing may be placed, by the peers' word. */
@@ -129,30 +136,35 @@
   }
 
   /** The machine as a place for work, if work may be put there. */
-  placeFor(id: string, draft?: Draft): Place | null {
+  placeFor(id: string, transaction?: TransactionBuilder): Candidate | null {
     const box = this.state.boxes.get(id);
     const owner = this.state.ownerOf(id);
     const flavor = this.flavors().get(box?.flavor ?? '');
     if (!box || !owner || !flavor || box.going !== undefined) return null;
     const good =
       owner.host === this.figures.self
-        ? this.steward.usable(id)
+        ? this.workerManager.usable(id)
         : box.address !== '' && this.state.live.has(owner.host) && !this.heldElsewhere().has(id);
-    return good ? this.placeOf(id, box, flavor, draft) : null;
+    return good ? this.placeOf(id, box, flavor, transaction) : null;
   }
 
   /** Whether its owner holds the machine back: it is silent, sick or about to be taken. */
   heldBack(id: string): boolean {
-    const machine = this.steward.machine(id);
-    return machine && this.keeper.termFor(id) !== null
-      ? this.steward.holdOf(machine) !== undefined
+    const machine = this.workerManager.machine(id);
+    return machine && this.domainManager.termFor(id) !== null
+      ? this.workerManager.holdOf(machine) !== undefined
       : this.heldElsewhere().has(id);
   }
 
-  placeOf(id: string, box: Box, flavor: Flavor, draft?: Draft): Place {
+  placeOf(
+    id: string,
+    box: MachineRecord,
+    flavor: Flavor,
+    transaction?: TransactionBuilder,
+  ): Candidate {
     const on = this.state.onBox.get(id) ?? [];
-    if (draft?.touched.has(id))
-      return placeOf(id, box, flavor, on, (uid) => draft.job(uid), this.cached.get(id));
+    if (transaction?.touched.has(id))
+      return placeOf(id, box, flavor, on, (uid) => transaction.job(uid), this.cached.get(id));
     let spot = this.spots.get(id);
     if (!spot) {
       spot = placeOf(id, box, flavor, on, (uid) => this.state.jobs.get(uid), this.cached.get(id));
@@ -169,7 +181,7 @@
     });
   }
 
-  snapshot(places: Place[], jobs: Iterable<[string, JobRecord]>): Snapshot {
+  snapshot(places: Candidate[], jobs: Iterable<[string, JobRecord]>): Snapshot {
     const { homes, guarantees, agedMs, times } = this.figures;
     const wall = this.clock.wall();
     return snapshotOf(
@@ -185,9 +197,9 @@
 
   /** What the own domain has and what waits for it, for the log. */
   summary(): object {
-    const own = [...this.keeper.own().m.keys()];
+    const own = [...this.domainManager.own().m.keys()];
     const places = own.flatMap((id) => this.placeFor(id) ?? []);
-    const sum = (of: (place: Place) => number): number =>
+    const sum = (of: (place: Candidate) => number): number =>
       Math.round(places.reduce((total, place) => total + of(place), 0));
     let waiting = 0;
     for (const [, job] of this.waiting()) waiting += waitingCount(job);
@@ -240,9 +252,9 @@
   }
 
   private propose(): Proposal | null {
-    const due = this.steward.endingsDue();
+    const due = this.workerManager.endingsDue();
     const now = this.clock.now();
-    if (!this.keeper.registered || (!this.dirty && !due)) return null;
+    if (!this.domainManager.registered || (!this.dirty && !due)) return null;
     // Changes that come thick are planned for in bunches, and planning leaves time for all else: a renewal
     // that is late behind it is a takeover for nothing.
     const rest = Math.max(due ? 0 : this.figures.spreadMs, this.tookMs * RESTS);
@@ -261,12 +273,16 @@
     const { self, txnOps, writeRps, valueBytes } = this.figures;
     // A transaction of a whole second's puts is refused as long as anybody else writes.
     const ops = Math.min(txnOps, Math.max(LEAST_OPS, Math.floor(writeRps * MOST_OF_A_SECOND)));
-    const draft = new Draft(this.state, self, { txnOps: ops, valueBytes, bytes: TXN_BYTES });
-    draft.guard(this.keeper.guard());
-    const ended = this.steward.draftEndings(draft);
-    const places: Place[] = [];
-    for (const id of this.keeper.own().m.keys()) {
-      const spot = this.placeFor(id, draft);
+    const transaction = new TransactionBuilder(this.state, self, {
+      txnOps: ops,
+      valueBytes,
+      bytes: TXN_BYTES,
+    });
+    transaction.guard(this.domainManager.guard());
+    const ended = this.workerManager.addEndings(transaction);
+    const places: Candidate[] = [];
+    for (const id of this.domainManager.own().m.keys()) {
+      const spot = this.placeFor(id, transaction);
       if (spot) places.push(spot);
     }
     const hosts = [...this.state.live.keys()].sort(compare);
@@ -274,7 +290,7 @@
     const patient = new Set<string>();
     let later = Infinity;
     for (const uid of this.load.waiting) {
-      const job = draft.job(uid);
+      const job = transaction.job(uid);
       if (!job || waitingCount(job) === 0) continue;
       const { waitMs, turn, since } = this.turnAt(uid, job, hosts, now);
       if (waitMs > 0) later = Math.min(later, waitMs);
@@ -282,59 +298,68 @@
       if (now - since < turn * this.figures.stopMs) patient.add(uid);
     }
     if (later < Infinity) this.againIn(later);
-    const before = draft.size;
-    if (places.length === 0 || jobs.length === 0) return due ? this.commit(draft, ended, 0) : null;
+    const before = transaction.size;
+    if (places.length === 0 || jobs.length === 0)
+      return due ? this.commit(transaction, ended, 0) : null;
     const snapshot = this.snapshot(places, jobs);
-    snapshot.quota = this.keeper.quotaLeft();
+    snapshot.quota = this.domainManager.quotaLeft();
     const placements = plan(snapshot);
     let tasks = 0;
-    for (const { uid, boxes } of placements) tasks += this.draftPlacement(draft, uid, boxes);
+    for (const { uid, boxes } of placements) tasks += this.addPlacement(transaction, uid, boxes);
     delete snapshot.kept;
     // After this the places show room that is only on its way: nothing more is planned with them.
     const planned = new Set(placements.map(({ uid }) => uid));
     const rest = jobs.flatMap(([uid]) => {
       // What the transaction could not hold of the plan has its room already.
-      const job = planned.has(uid) || patient.has(uid) ? undefined : draft.job(uid);
+      const job = planned.has(uid) || patient.has(uid) ? undefined : transaction.job(uid);
       return job ? [{ uid, job }] : [];
     });
-    this.draftStops(draft, snapshot, rest);
-    for (const [team, lack] of snapshot.short ?? []) this.keeper.lack(team, lack);
+    this.addStops(transaction, snapshot, rest);
+    for (const [team, lack] of snapshot.short ?? []) this.domainManager.lack(team, lack);
     if (snapshot.short) this.clock.after(this.figures.spreadMs, this.wake);
     // Small work that arrives all the time must not keep a gang from its machines.
     const borrowed = this.borrow(jobs, placements, patient);
     if (borrowed) return borrowed;
-    if (draft.size === before && !due) return null;
-    return this.commit(draft, ended, tasks);
+    if (transaction.size === before && !due) return null;
+    return this.commit(transaction, ended, tasks);
   }
 
   /** Record before act: a launch is sent only once this has been committed. */
-  private commit(draft: Draft, ended: () => void, tasks: number): Proposal | null {
-    if (draft.size === 0) return null;
+  private commit(
+    transaction: TransactionBuilder,
+    ended: () => void,
+    tasks: number,
+  ): Proposal | null {
+    if (transaction.size === 0) return null;
     return {
-      txn: draft.txn(),
+      txn: transaction.txn(),
       settled: (outcome) => {
         this.dirty = true;
         if (outcome.kind !== 'done') return;
         ended();
-        this.log.debug({ changes: draft.size, tasks }, 'work recorded');
+        this.log.debug({ changes: transaction.size, tasks }, 'work recorded');
       },
     };
   }
 
   /** As many of a job's tasks as the transaction and the records can hold. */
-  private draftPlacement(draft: Draft, uid: string, boxes: string[]): number {
-    const job = draft.job(uid);
+  private addPlacement(transaction: TransactionBuilder, uid: string, boxes: string[]): number {
+    const job = transaction.job(uid);
     if (!job) return 0;
     for (let count = boxes.length; count > 0; count = Math.floor(count / 2)) {
       if (job.s.shape === 'group' && count < boxes.length) return 0;
       const some = boxes.slice(0, count);
-      if (draft.set(uid, place(job, some))) return count;
+      if (transaction.set(uid, place(job, some))) return count;
     }
     return 0;
   }
 
-  /** Marks tasks on own machines that are to stop; the steward halts them with time to save. */
-  private draftStops(draft: Draft, snapshot: Snapshot, waiting: Snapshot['jobs']): void {
+  /** Marks tasks on own machines that are to stop; the worker manager halts them with time to save. */
+  private addStops(
+    transaction: TransactionBuilder,
+    snapshot: Snapshot,
+    waiting: Snapshot['jobs'],
+  ): void {
     const able = waiting.filter(
       ({ job: { s } }) =>
         this.load.anyBelow(s.rank) || (snapshot.guarantees && share(snapshot, s.owner, s) <= 1),
@@ -343,12 +368,12 @@
     const running = runningOn(
       snapshot.places,
       (box) => this.state.onBox.get(box) ?? [],
-      (uid) => draft.job(uid),
+      (uid) => transaction.job(uid),
     );
     const stop = victims(snapshot, able, running, this.figures.txnOps);
     for (const { uid, task } of stop) {
-      const job = draft.job(uid);
-      if (job) draft.set(uid, { ...job, stop: [...(job.stop ?? []), task] });
+      const job = transaction.job(uid);
+      if (job) transaction.set(uid, { ...job, stop: [...(job.stop ?? []), task] });
     }
     if (stop.length > 0) this.log.info({ stop }, 'tasks are to stop for others');
   }
@@ -369,7 +394,7 @@
     const now = this.clock.now();
     if (gangs.length === 0 || now - this.borrowedAt < this.figures.stopMs) return null;
     this.borrowedAt = now;
-    const places: Place[] = [];
+    const places: Candidate[] = [];
     for (const id of this.state.boxes.keys()) {
       const spot = this.placeFor(id);
       if (spot) places.push(spot);
@@ -379,7 +404,7 @@
         if (host === this.figures.self) continue;
         const wanted = [...new Set(boxes)].filter((box) => domain.m.has(box));
         if (wanted.length === 0) continue;
-        const proposal = this.keeper.move(host, domain, wanted, true);
+        const proposal = this.domainManager.move(host, domain, wanted, true);
         return {
           ...proposal,
           settled: (outcome) => {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -1,25 +1,25 @@
 /** Which waiting task goes to which machine: pure functions of a snapshot. */
 import { compare } from '../domain/dealing.js';
-import type { Lack } from '../domain/shares.js';
+import type { QuotaShortfall } from '../domain/shares.js';
 import { stays, waitingCount } from '../jobs/life.js';
 import type { JobRecord, JobSpec, Rank } from '../store/records.js';
 import { AGED, deadlineClasses, type Deadlines } from './urgency.js';
 
-export interface Room {
+export interface Resources {
   cpus: number;
   cards: number;
   memory_gb: number;
 }
 
-export interface Place {
+export interface Candidate {
   id: string;
   flavor: string;
   site: string;
   reclaimable: boolean;
   /** What the machine has in all. */
-  size: Room;
+  size: Resources;
   /** What is neither used nor in doubt. Changed while planning. */
-  free: Room;
+  free: Resources;
   images: ReadonlySet<string>;
 }
 
@@ -31,7 +31,7 @@
 }
 
 export interface Snapshot extends Deadlines {
-  places: Place[];
+  places: Candidate[];
   jobs: { uid: string; job: JobRecord }[];
   teams: Map<string, TeamShare>;
   used: Map<string, { cpus: number; cards: number }>;
@@ -49,7 +49,7 @@
   /** Filled by the plan: what of the limits is kept for work that found no place, from lower ranks. */
   kept?: Map<string, { cpus: number; cards: number }>;
   /** Filled by the plan: what would have found a place but for `quota`. */
-  short?: Map<string, Lack>;
+  short?: Map<string, QuotaShortfall>;
   /** Whether any machine type without cards could hold the task. */
   plainFits(spec: JobSpec): boolean;
 }
@@ -62,7 +62,7 @@
 export const RANKS: Rank[] = ['critical', 'urgent', 'standard', 'idle'];
 const EPS = 1e-6;
 
-export function fits(spec: JobSpec, free: Room): boolean {
+export function fits(spec: JobSpec, free: Resources): boolean {
   return (
     spec.cpus <= free.cpus + EPS &&
     spec.cards <= free.cards + EPS &&
@@ -81,14 +81,14 @@
   );
 }
 
-export function take(spec: JobSpec, free: Room, times = 1): void {
+export function take(spec: JobSpec, free: Resources, times = 1): void {
   free.cpus -= spec.cpus * times;
   free.cards -= spec.cards * times;
   free.memory_gb -= spec.memory_gb * times;
 }
 
 /** Machines with cards are for work that uses them: whatever else stands there blocks a whole gang. */
-export function suits(spec: JobSpec, size: Room): boolean {
+export function suits(spec: JobSpec, size: Resources): boolean {
   return spec.cards > 0 || size.cards === 0;
 }
 
@@ -129,7 +129,7 @@
 
 export function noteShort(snapshot: Snapshot, spec: JobSpec, tasks: number): void {
   const amount = { cpus: spec.cpus * tasks, cards: spec.cards * tasks };
-  const short = (snapshot.short ??= new Map<string, Lack>());
+  const short = (snapshot.short ??= new Map<string, QuotaShortfall>());
   const known = short.get(spec.owner);
   const all = {
     cpus: (known?.all.cpus ?? 0) + amount.cpus,
@@ -261,7 +261,7 @@
  */
 function reserve(
   snapshot: Snapshot,
-  places: Place[],
+  places: Candidate[],
   uid: string,
   job: JobRecord,
   tasks: number,
@@ -320,7 +320,7 @@
  */
 function chooseFor(
   snapshot: Snapshot,
-  places: Place[],
+  places: Candidate[],
   job: JobRecord,
   already: string[],
   left: number,
@@ -350,7 +350,7 @@
   for (const candidates of tries) {
     const chosen: string[] = [];
     const count = new Map(zones);
-    const taken: Place[] = [];
+    const taken: Candidate[] = [];
     while (chosen.length < tasks) {
       const place = best(snapshot, spec, candidates, count);
       if (!place) break;
@@ -376,7 +376,7 @@
 function fill(
   snapshot: Snapshot,
   spec: JobSpec,
-  place: Place,
+  place: Candidate,
   left: number,
   chosen: string[],
 ): void {
@@ -396,11 +396,11 @@
 function best(
   snapshot: Snapshot,
   spec: JobSpec,
-  candidates: Place[],
+  candidates: Candidate[],
   zones: Map<string, number>,
-): Place | null {
+): Candidate | null {
   const most = zoneLimit(spec);
-  let chosen: Place | null = null;
+  let chosen: Candidate | null = null;
   let key: number[] = [];
   for (const place of candidates) {
     if (!fits(spec, place.free) || (zones.get(place.site) ?? 0) >= most) continue;
--- a/src/placement/preempt.ts
+++ b/src/placement/preempt.ts
@@ -16,7 +16,7 @@
   withinQuota,
   zoneLimit,
   zonesOf,
-  type Place,
+  type Candidate,
   type Snapshot,
 } from './plan.js';
 
@@ -37,7 +37,7 @@
 export type RunningOn = ReadonlyMap<string, readonly Running[]>;
 
 export function runningOn(
-  places: readonly Place[],
+  places: readonly Candidate[],
   onBox: (box: string) => Iterable<string>,
   jobOf: (uid: string) => JobRecord | undefined,
 ): RunningOn {
@@ -173,7 +173,7 @@
 ): { stop: Victim[]; site: string } | null {
   const guaranteed = snapshot.guarantees && share(snapshot, job.s.owner, job.s) <= 1;
   const picky = snapshot.plainFits(job.s);
-  let best: { place: Place; stop: Running[]; key: number[] } | null = null;
+  let best: { place: Candidate; stop: Running[]; key: number[] } | null = null;
   for (const place of snapshot.places) {
     if ((zones.get(place.site) ?? 0) >= zoneLimit(job.s)) continue;
     if (job.s.one_zone && zones.size > 0 && !zones.has(place.site)) continue;
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -1,9 +1,9 @@
 import type { Flavor } from '../cloud/client.js';
 import type { Settings } from '../config/settings.js';
-import type { Box, JobRecord } from '../store/records.js';
+import type { MachineRecord, JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
-import type { Load } from './load.js';
-import { fits, take, type Place, type Snapshot, type TeamShare } from './plan.js';
+import type { QueueUsage } from './usage.js';
+import { fits, take, type Candidate, type Snapshot, type TeamShare } from './plan.js';
 import type { Deadlines } from './urgency.js';
 
 /**
@@ -29,12 +29,12 @@
 /** A machine as the planner sees it: what is recorded on it counts, whether or not it has begun. */
 export function placeOf(
   id: string,
-  box: Box,
+  box: MachineRecord,
   flavor: Flavor,
   uids: Iterable<string>,
   jobOf: (uid: string) => JobRecord | undefined,
   cached: ReadonlySet<string> | undefined,
-): Place {
+): Candidate {
   const size = { cpus: flavor.cpus, cards: flavor.cards, memory_gb: flavor.memory_gb };
   const free = { ...size };
   const images = new Set(cached);
@@ -51,9 +51,9 @@
 export function snapshotOf(
   state: State,
   teams: Map<string, TeamShare>,
-  places: Place[],
+  places: Candidate[],
   jobs: Iterable<[string, JobRecord]>,
-  load: Load,
+  load: QueueUsage,
   figures: Pick<Snapshot, Exclude<keyof Deadlines, 'speed'> | 'homes' | 'guarantees'>,
   flavors: ReadonlyMap<string, Flavor>,
 ): Snapshot {
--- a/src/placement/load.ts
+++ b/src/placement/usage.ts
@@ -11,7 +11,7 @@
 }
 
 /** What the jobs use and which of them wait, kept up to date job by job: no plan needs to walk all of them. */
-export class Load {
+export class QueueUsage {
   /** Jobs with tasks that wait for a machine. */
   readonly waiting = new Set<string>();
   /** CPUs that work with deadlines has now. */
--- a/src/store/decider.ts
+++ b/src/store/commit-loop.ts
@@ -1,6 +1,6 @@
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
-import type { Budget } from './budget.js';
+import type { RateLimiter } from './rate-limiter.js';
 import type { Outcome, StoreClient, Txn } from './client.js';
 import type { State } from './state.js';
 
@@ -32,7 +32,7 @@
  * replica, so nothing is decided from a state older than the last commit. No source can hold up the
  * others for good: under load the main one and the rest take turns.
  */
-export class Decider {
+export class CommitLoop {
   private awake = false;
   /** Whether the main source had the last turn, and whose turn it is among the rest. */
   private mainLast = false;
@@ -44,7 +44,7 @@
     private readonly sources: Sources,
     private readonly store: StoreClient,
     private readonly state: State,
-    private readonly budget: Budget,
+    private readonly limiter: RateLimiter,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly catchUp: () => Promise<boolean>,
@@ -69,7 +69,7 @@
       if (!urgent) {
         // The wait comes before the proposal: one made and then put off would be out of date, and its
         // source would take it for made.
-        const wait = this.budget.waitMs(1);
+        const wait = this.limiter.waitMs(1);
         if (wait > 0) {
           // In short steps: the rate may rise meanwhile, and something urgent may come up.
           await sleep(this.clock, Math.min(wait, this.pauseMs));
@@ -81,7 +81,7 @@
         await this.untilAwake();
         continue;
       }
-      this.budget.take(made.proposal.txn.apply.length);
+      this.limiter.take(made.proposal.txn.apply.length);
       await this.settle(made.source.name, made.proposal);
     }
   }
@@ -104,7 +104,7 @@
     } else this.log.debug({ source: name, outcome }, 'commit not made');
     if (outcome.kind === 'conflict') await this.catchUp();
     proposal.settled?.(outcome);
-    if (outcome.kind === 'refused') this.budget.refused();
+    if (outcome.kind === 'refused') this.limiter.refused();
     if (outcome.kind === 'refused') await sleep(this.clock, this.pauseMs);
   }
 
--- a/src/store/budget.ts
+++ b/src/store/rate-limiter.ts
@@ -11,7 +11,7 @@
  * longer. The rate is what this process takes of a limit that it shares with its peers: it rises while
  * nothing is refused, up to `most`, and falls with each refusal.
  */
-export class Budget {
+export class RateLimiter {
   private tokens: number;
   private at: number;
   private rate: number;
--- a/src/store/records.ts
+++ b/src/store/records.ts
@@ -88,7 +88,7 @@
 export type ListRecord = Record<string, string[]>;
 
 /** Machines of one kind that were rented or first seen together. */
-export interface LotRecord {
+export interface MachineBatchRecord {
   f: string;
   s: string;
   r: boolean;
@@ -104,7 +104,7 @@
 const REASON_BYTES = 24;
 
 /** How large the record of a lot may get: each of its machines may have to be given back. */
-export function lotBytes(lot: LotRecord): number {
+export function lotBytes(lot: MachineBatchRecord): number {
   const { b } = lot;
   let bytes = Buffer.byteLength(JSON.stringify({ ...lot, g: {} }));
   for (const id of Object.keys(b)) bytes += bytesOf(id) + REASON_BYTES;
@@ -112,7 +112,7 @@
 }
 
 /** A machine, as its lot tells. */
-export interface Box {
+export interface MachineRecord {
   lot: string;
   address: string;
   flavor: string;
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -4,7 +4,7 @@
   keys,
   readHead,
   type Amount,
-  type Box,
+  type MachineRecord,
   type Domain,
   type EndRecord,
   type FleetRecord,
@@ -13,7 +13,7 @@
   type JobSpec,
   type ListRecord,
   type LiveRecord,
-  type LotRecord,
+  type MachineBatchRecord,
   type RunRecord,
   type ShardRecord,
   type StoredJob,
@@ -68,8 +68,8 @@
 export class State {
   readonly replica: Replica;
   readonly jobs = new Map<string, JobRecord>();
-  readonly boxes = new Map<string, Box>();
-  readonly lots = new Map<string, LotRecord>();
+  readonly boxes = new Map<string, MachineRecord>();
+  readonly lots = new Map<string, MachineBatchRecord>();
   readonly domains = new Map<string, Domain>();
   /** Host -> shards of its domain by key; parts of its takeover lists likewise. */
   readonly shards = new Map<string, Map<string, ShardRecord>>();
@@ -209,7 +209,7 @@
         this.noteRun(key, value as RunRecord | null);
         break;
       case 'lot':
-        this.noteLot(name, value as LotRecord | null);
+        this.noteLot(name, value as MachineBatchRecord | null);
         break;
       case 'dom':
         this.changed.hosts = true;
@@ -313,7 +313,7 @@
     }
   }
 
-  private noteLot(name: string, value: LotRecord | null): void {
+  private noteLot(name: string, value: MachineBatchRecord | null): void {
     const before = this.lots.get(name);
     assign(this.lots, name, value);
     for (const id of Object.keys(before?.b ?? {}))
@@ -326,7 +326,7 @@
     for (const [id, address] of Object.entries(value.b)) {
       const going = value.g?.[id];
       if (before?.b[id] === address && before.g?.[id] === going) continue;
-      const box: Box = {
+      const box: MachineRecord = {
         lot: name,
         address,
         flavor: value.f,
--- a/src/store/draft.ts
+++ b/src/store/transaction-builder.ts
@@ -5,7 +5,7 @@
 import type { State } from './state.js';
 import { without } from '../jobs/life.js';
 
-export interface DraftLimits {
+export interface TransactionLimits {
   txnOps: number;
   valueBytes: number;
   bytes: number;
@@ -30,7 +30,7 @@
  * A transaction being put together: changes of jobs and of what is on the own machines, as many as fit.
  * What is drafted is seen by what is drafted after it.
  */
-export class Draft {
+export class TransactionBuilder {
   private readonly guards = new Map<string, number>();
   private readonly puts = new Map<string, Put>();
   private readonly jobs = new Map<string, JobRecord>();
@@ -41,7 +41,7 @@
   constructor(
     private readonly state: State,
     private readonly host: string,
-    private readonly limits: DraftLimits,
+    private readonly limits: TransactionLimits,
   ) {}
 
   job(uid: string): JobRecord | undefined {
--- a/src/store/follower.ts
+++ b/src/store/watcher.ts
@@ -12,7 +12,7 @@
 }
 
 /** Keeps the replica up to date by a watch, and proves it current when a request asks. */
-export class Follower {
+export class ReplicaWatcher {
   private next: Asked | null = null;
   private alone: Promise<boolean> | null = null;
   private stopped = false;
--- a/src/workers/steward.ts
+++ b/src/workers/manager.ts
@@ -1,9 +1,9 @@
 import { within, type Clock } from '../clock.js';
-import type { Keeper } from '../domain/keeper.js';
-import { conclude, staysOn, type End, type Stay } from '../jobs/life.js';
+import type { DomainManager } from '../domain/manager.js';
+import { conclude, staysOn, type TaskOutcome, type Allocation } from '../jobs/life.js';
 import type { Log } from '../log.js';
-import type { Proposal, Source } from '../store/decider.js';
-import type { Draft } from '../store/draft.js';
+import type { Proposal, Source } from '../store/commit-loop.js';
+import type { TransactionBuilder } from '../store/transaction-builder.js';
 import { asBody, keys, type Hold, type JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
 import type { Caller } from '../wire/client.js';
@@ -13,7 +13,7 @@
 import { difference, indexTasks, taskKey, type Order } from './orders.js';
 import { parseReport, splitTask, type Report, type TaskReport } from './report.js';
 
-export interface StewardFigures {
+export interface WorkerManagerOptions {
   self: string;
   reportMs: number;
   leaseMs: number;
@@ -68,11 +68,14 @@
 const DRIFT = 1.002;
 
 /** Takes the workers' reports, and makes the machines of the own domain do what is recorded. */
-export class Steward {
+export class WorkerManager {
   private readonly machines = new Map<string, Machine>();
   private readonly callers = new Map<string, { address: string; caller: Caller }>();
   /** What is proved over, with the term under which that was proved. */
-  private readonly endings = new Map<string, { stay: Stay; end: End; term: number | null }[]>();
+  private readonly endings = new Map<
+    string,
+    { stay: Allocation; end: TaskOutcome; term: number | null }[]
+  >();
   /** When the oldest of the endings was found. */
   private endingSince = Infinity;
   /** Machines that have come into doubt; those that are out of it again are sorted out when it is asked. */
@@ -87,9 +90,9 @@
   private probed = 0;
 
   constructor(
-    private readonly figures: StewardFigures,
+    private readonly figures: WorkerManagerOptions,
     private readonly state: State,
-    private readonly keeper: Keeper,
+    private readonly domainManager: DomainManager,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly callerFor: (address: string) => Caller,
@@ -105,7 +108,7 @@
     const machine = this.machines.get(id);
     return (
       machine !== undefined &&
-      machine.term === this.keeper.termFor(id) &&
+      machine.term === this.domainManager.termFor(id) &&
       machine.fenced &&
       !machine.lapsed &&
       machine.doubt === null &&
@@ -137,11 +140,18 @@
   /** Whether this process may answer for the machine; if not, the reply that says so. */
   private async entitled(report: Report): Promise<number | Reply> {
     const refuse: Reply = { status: 503, body: { error: 'not settled' } };
-    if (!this.keeper.registered || !this.knowsCancellations()) return refuse;
+    if (!this.domainManager.registered || !this.knowsCancellations()) return refuse;
     let owner = this.state.ownerOf(report.box);
     if (!owner) {
       const { box, address, flavor, site, reclaimable, epoch } = report;
-      this.keeper.want(box, { address, flavor, site, reclaimable, epoch, at: this.clock.wall() });
+      this.domainManager.want(box, {
+        address,
+        flavor,
+        site,
+        reclaimable,
+        epoch,
+        at: this.clock.wall(),
+      });
       await within(this.clock, this.figures.reportMs, this.untilOwned(box), undefined);
       owner = this.state.ownerOf(box);
     }
@@ -149,7 +159,7 @@
       return this.state.live.has(owner.host)
         ? { status: 421, body: { steward: owner.host } }
         : refuse;
-    const term = this.keeper.termFor(report.box);
+    const term = this.domainManager.termFor(report.box);
     // An heir that cannot reach the worker counts its lease from the claim on.
     if (term === null || this.peers.isLost(report.box)) return refuse;
     // The worker has seen a higher term: somebody else owns it by now. It would drop a 200 from here,
@@ -184,7 +194,7 @@
         for (const resolve of this.ownedWaiters.get(box) ?? []) resolve();
         this.ownedWaiters.delete(box);
       }
-      const term = this.keeper.termFor(box);
+      const term = this.domainManager.termFor(box);
       if (term === null) {
         this.machines.delete(box);
         this.callers.delete(box);
@@ -273,7 +283,11 @@
 
   /** Notes what the picture proves; returns the orders that would close the difference. */
   private compare(machine: Machine): Order[] {
-    if (!machine.fenced || machine.lapsed || machine.term !== this.keeper.termFor(machine.id))
+    if (
+      !machine.fenced ||
+      machine.lapsed ||
+      machine.term !== this.domainManager.termFor(machine.id)
+    )
       return [];
     // The replica may still miss what the former owner recorded before it lost the machine.
     if (this.state.replica.generation < machine.asOf) return [];
@@ -316,7 +330,7 @@
     );
   }
 
-  private end(uid: string, stay: Stay, end: End): void {
+  private end(uid: string, stay: Allocation, end: TaskOutcome): void {
     const list = this.endings.get(uid) ?? [];
     const same = list.some(
       (known) =>
@@ -325,7 +339,7 @@
         known.stay.attempt === stay.attempt,
     );
     if (same) return;
-    list.push({ stay, end, term: this.keeper.termFor(stay.box) });
+    list.push({ stay, end, term: this.domainManager.termFor(stay.box) });
     this.endings.set(uid, list);
     if (this.state.jobs.get(uid)?.stop?.includes(stay.task)) {
       // Somebody waits for its room.
@@ -427,7 +441,8 @@
       return false;
     let heard = 0;
     for (const machine of this.machines.values())
-      if (machine.fenced && !machine.lapsed && this.keeper.termFor(machine.id) !== null) heard++;
+      if (machine.fenced && !machine.lapsed && this.domainManager.termFor(machine.id) !== null)
+        heard++;
     return heard >= 2;
   }
 
@@ -444,7 +459,7 @@
     )({ method: 'GET', path: '/status', timeoutMs: this.figures.callMs })
       .then(
         () => {
-          this.keeper.reachable();
+          this.domainManager.reachable();
         },
         (error: unknown) => {
           if (!(error instanceof NoAnswer)) throw error;
@@ -460,9 +475,9 @@
     const now = this.clock.now();
     if (now - this.tickedAt > this.figures.reportMs) this.steadySince = now;
     this.tickedAt = now;
-    if (this.keeper.steppedDown) this.probe();
+    if (this.domainManager.steppedDown) this.probe();
     for (const machine of this.machines.values()) {
-      const term = this.keeper.termFor(machine.id);
+      const term = this.domainManager.termFor(machine.id);
       if (term !== machine.term || machine.lapsed) continue;
       if (!machine.fenced) {
         this.kick(machine);
@@ -490,7 +505,7 @@
   }
 
   /** Everything recorded on this machine is proved to be gone. */
-  clear(box: string, end: End): void {
+  clear(box: string, end: TaskOutcome): void {
     for (const uid of this.state.onBox.get(box) ?? []) {
       const job = this.state.jobs.get(uid);
       if (job) for (const stay of staysOn(job, box)) this.end(uid, stay, end);
@@ -512,16 +527,16 @@
   }
 
   /** Takes the ends found so far into a transaction; returns what to do once it is done. */
-  draftEndings(draft: Draft): () => void {
+  addEndings(transaction: TransactionBuilder): () => void {
     const taken: string[] = [];
     for (const [uid, list] of this.endings) {
-      const job = draft.job(uid);
+      const job = transaction.job(uid);
       const valid = job
         ? list.filter(
             ({ stay, term }) =>
               // A machine that was lost and came back under a higher term may have been kept alive meanwhile.
               term !== null &&
-              this.keeper.termFor(stay.box) === term &&
+              this.domainManager.termFor(stay.box) === term &&
               staysOn(job, stay.box).some(
                 (known) => known.task === stay.task && known.attempt === stay.attempt,
               ),
@@ -532,7 +547,7 @@
         continue;
       }
       const next = conclude(job, valid, this.clock.wall(), this.figures.reportMs);
-      if (draft.set(uid, next)) taken.push(uid);
+      if (transaction.set(uid, next)) taken.push(uid);
     }
     if (this.endings.size === 0) this.endingSince = Infinity;
     return () => {
@@ -558,12 +573,12 @@
     const doubtful = [...this.doubtful, ...this.burdened()].filter(
       (machine) =>
         (!machine.doubt || machine.doubt.term === machine.term) &&
-        this.keeper.termFor(machine.id) === machine.term &&
+        this.domainManager.termFor(machine.id) === machine.term &&
         this.clock.now() - machine.heardAt < this.figures.reportMs,
     );
     if (doubtful.length === 0) return null;
     const set = new Map(doubtful.map((machine) => [machine.id, term]));
-    const { guards, apply } = this.keeper.change({ set });
+    const { guards, apply } = this.domainManager.change({ set });
     return {
       txn: {
         guards: [...guards, { key: keys.term, stamp: this.state.stampOf(keys.term) }],
@@ -597,7 +612,7 @@
     for (const { id, address, term } of this.machines.values()) {
       const box = this.state.boxes.get(id);
       if (!box || address === '' || box.address === address) continue;
-      if (this.keeper.termFor(id) !== term) continue;
+      if (this.domainManager.termFor(id) !== term) continue;
       const lot = lots.get(box.lot) ?? {};
       lot[id] = address;
       lots.set(box.lot, lot);
@@ -607,7 +622,7 @@
     return {
       txn: {
         guards: [
-          this.keeper.guard(),
+          this.domainManager.guard(),
           ...some.map(([name]) => ({
             key: keys.lot(name),
             stamp: this.state.stampOf(keys.lot(name)),
@@ -631,7 +646,7 @@
   held(): string[] {
     const held: string[] = [];
     for (const machine of this.machines.values())
-      if (this.keeper.termFor(machine.id) !== null && machine.fenced && this.holdOf(machine))
+      if (this.domainManager.termFor(machine.id) !== null && machine.fenced && this.holdOf(machine))
         held.push(machine.id);
     return held;
   }
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -1,5 +1,5 @@
 import type { JobRecord } from '../store/records.js';
-import { staysOn, wantsRunning, type End, type Stay } from '../jobs/life.js';
+import { staysOn, wantsRunning, type TaskOutcome, type Allocation } from '../jobs/life.js';
 import type { TaskReport } from './report.js';
 
 export interface Order {
@@ -13,7 +13,7 @@
 export interface Difference {
   orders: Order[];
   /** Stays that are proved over, by job. */
-  endings: Map<string, { stay: Stay; end: End }[]>;
+  endings: Map<string, { stay: Allocation; end: TaskOutcome }[]>;
 }
 
 /**
@@ -80,12 +80,16 @@
   return new Map(tasks.map((task) => [taskKey(task.task, task.try), task]));
 }
 
-function endOf(shown: TaskReport): End {
+function endOf(shown: TaskReport): TaskOutcome {
   if (shown.cause === 'done') return 'done';
   return shown.cause === 'error' ? 'error' : 'back';
 }
 
-function push(into: Difference['endings'], uid: string, ending: { stay: Stay; end: End }): void {
+function push(
+  into: Difference['endings'],
+  uid: string,
+  ending: { stay: Allocation; end: TaskOutcome },
+): void {
   const list = into.get(uid);
   if (list) list.push(ending);
   else into.set(uid, [ending]);
--- a/test/dealing.test.ts
+++ b/test/dealing.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { deal } from '../src/domain/dealing.js';
+import { partitionForTakeover } from '../src/domain/dealing.js';
 
 const box = (id: string, site: string) => ({ id, site });
 
@@ -23,5 +23,5 @@
 
 for (const { name, machines, heirs, want } of CASES)
   void test(`deal: ${name}`, () => {
-    assert.deepEqual(deal(machines, heirs), want);
+    assert.deepEqual(partitionForTakeover(machines, heirs), want);
   });
--- a/test/life.test.ts
+++ b/test/life.test.ts
@@ -7,7 +7,7 @@
   newJob,
   place,
   waitingCount,
-  type End,
+  type TaskOutcome,
 } from '../src/jobs/life.js';
 import type { JobRecord, JobSpec } from '../src/store/records.js';
 import { difference, indexTasks } from '../src/workers/orders.js';
@@ -15,7 +15,7 @@
 import { JOB } from './stand/world.js';
 
 const job = (spec: Partial<JobSpec>): JobRecord => newJob({ ...JOB, ...spec }, 0);
-const ended = (record: JobRecord, box: string, task: number, attempt: number, end: End) =>
+const ended = (record: JobRecord, box: string, task: number, attempt: number, end: TaskOutcome) =>
   conclude(record, [{ stay: { box, task, attempt }, end }], 1000, 100);
 
 const LIVES: { name: string; job: JobRecord; want: [number, number, string | null] }[] = [
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,14 +5,14 @@
 import { neverRuns } from '../src/jobs/submission.js';
 import { teamShares } from '../src/placement/snapshot.js';
 import { newJob, place } from '../src/jobs/life.js';
-import { plan, RANKS, type Place, type Snapshot } from '../src/placement/plan.js';
+import { plan, RANKS, type Candidate, type Snapshot } from '../src/placement/plan.js';
 import { runningOn, victims } from '../src/placement/preempt.js';
 import type { JobRecord, JobSpec } from '../src/store/records.js';
 import { JOB } from './stand/world.js';
 
 const SIZE = { cpus: 4, cards: 0, memory_gb: 16 };
 
-function box(id: string, more: Partial<Place> & { used?: number } = {}): Place {
+function box(id: string, more: Partial<Candidate> & { used?: number } = {}): Candidate {
   const size = more.size ?? SIZE;
   const free = { ...size, cpus: size.cpus - (more.used ?? 0) };
   return {
@@ -29,7 +29,7 @@
 
 const job = (spec: Partial<JobSpec>, at = 0): JobRecord => newJob({ ...JOB, ...spec }, at);
 
-function snapshot(places: Place[], jobs: Record<string, JobRecord>): Snapshot {
+function snapshot(places: Candidate[], jobs: Record<string, JobRecord>): Snapshot {
   const used = new Map<string, { cpus: number; cards: number }>();
   for (const { s, r } of Object.values(jobs)) {
     const tasks = Object.values(r).reduce((sum, pairs) => sum + pairs.length / 2, 0);
@@ -70,7 +70,7 @@
 
 const CASES: {
   name: string;
-  places: Place[];
+  places: Candidate[];
   jobs: Record<string, JobRecord>;
   want: Record<string, string[]>;
 }[] = [
@@ -217,7 +217,7 @@
 
 const PREEMPTIONS: {
   name: string;
-  places: Place[];
+  places: Candidate[];
   jobs: Record<string, JobRecord>;
   want: string[];
 }[] = [
--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { turnOf } from '../src/domain/dealing.js';
-import { evenOut, takeFrom } from '../src/domain/shares.js';
+import { rebalanceQuota, takeFrom } from '../src/domain/shares.js';
 
 const cpus = (amount: number) => ({ cpus: amount, cards: 0 });
 const used = (amount: number) => new Map([['red', cpus(amount)]]);
@@ -136,7 +136,7 @@
       ([have, use], at) =>
         [`h${String(at)}`, { quota: { red: cpus(have) }, used: used(use) }] as const,
     );
-    const got = evenOut(
+    const got = rebalanceQuota(
       { quota: { red: cpus(own[0]) }, used: used(own[1]) },
       new Map([['red', { all: cpus(all), whole: cpus(whole ?? 0), least: cpus(least ?? 0) }]]),
       new Map(parts),
--- a/test/draft.test.ts
+++ b/test/transaction-builder.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { conclude, finalState, newJob, place } from '../src/jobs/life.js';
-import { Draft } from '../src/store/draft.js';
+import { TransactionBuilder } from '../src/store/transaction-builder.js';
 import { keys, storeJob, type JobRecord } from '../src/store/records.js';
 import { State } from '../src/store/state.js';
 import { JOB } from './stand/world.js';
@@ -9,7 +9,7 @@
 const LIMITS = { txnOps: 6, valueBytes: 700, bytes: 6000 };
 
 /** Applies what was drafted, as the store would. */
-function commit(state: State, draft: Draft): void {
+function commit(state: State, draft: TransactionBuilder): void {
   const { guards, apply } = draft.txn();
   for (const { key, stamp } of guards) assert.equal(state.stampOf(key), stamp, key);
   state.replica.applied(apply, state.replica.generation + 1);
@@ -31,7 +31,7 @@
 
 void test('draft: starts of several jobs share the parts, none over its limit', () => {
   const state = fresh('j', 'k');
-  const draft = new Draft(state, 'a', LIMITS);
+  const draft = new TransactionBuilder(state, 'a', LIMITS);
   assert.ok(draft.set('j', place(at(state, 'j'), boxes(0, 30))));
   assert.ok(draft.set('k', place(at(state, 'k'), boxes(10, 20))));
   commit(state, draft);
@@ -45,7 +45,7 @@
 
 void test('draft: what does not fit changes nothing', () => {
   const state = fresh('j');
-  const draft = new Draft(state, 'a', { ...LIMITS, txnOps: 2 });
+  const draft = new TransactionBuilder(state, 'a', { ...LIMITS, txnOps: 2 });
   assert.ok(!draft.set('j', place(at(state, 'j'), boxes(0, 60))));
   assert.equal(draft.size, 0);
   assert.ok(draft.set('j', place(at(state, 'j'), boxes(0, 5))));
@@ -54,10 +54,10 @@
 
 void test('draft: an end that changes nothing else is one put, and is seen by what is drafted after it', () => {
   const state = fresh('j');
-  const start = new Draft(state, 'a', LIMITS);
+  const start = new TransactionBuilder(state, 'a', LIMITS);
   start.set('j', place(at(state, 'j'), boxes(0, 3)));
   commit(state, start);
-  const draft = new Draft(state, 'a', LIMITS);
+  const draft = new TransactionBuilder(state, 'a', LIMITS);
   const stay = { box: 'i-000001', task: 1, attempt: 1 };
   assert.ok(draft.set('j', conclude(at(state, 'j'), [{ stay, end: 'done' }], 0, 1)));
   assert.deepEqual(
@@ -72,15 +72,15 @@
 
 void test('draft: stays of machines that changed hands are ended where they are, and adopted', () => {
   const state = fresh('j');
-  const dead = new Draft(state, 'dead', LIMITS);
+  const dead = new TransactionBuilder(state, 'dead', LIMITS);
   dead.set('j', place(at(state, 'j'), boxes(0, 4)));
   commit(state, dead);
-  const heir = new Draft(state, 'heir', LIMITS);
+  const heir = new TransactionBuilder(state, 'heir', LIMITS);
   const stay = { box: 'i-000000', task: 0, attempt: 1 };
   assert.ok(heir.set('j', conclude(at(state, 'j'), [{ stay, end: 'back' }], 0, 1)));
   commit(state, heir);
   assert.deepEqual(at(state, 'j').b, [0]);
-  const adoption = new Draft(state, 'heir', LIMITS);
+  const adoption = new TransactionBuilder(state, 'heir', LIMITS);
   assert.ok(adoption.adopt(keys.run('dead', 0), (box) => box !== 'i-000003'));
   commit(state, adoption);
   assert.deepEqual(Object.keys(state.run(keys.run('dead', 0))['j'] ?? {}), ['i-000003']);
--- a/test/load.test.ts
+++ b/test/usage.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Load } from '../src/placement/load.js';
+import { QueueUsage } from '../src/placement/usage.js';
 import type { JobRecord, Rank } from '../src/store/records.js';
 import { Chance } from './stand/time.js';
 import { JOB } from './stand/world.js';
@@ -8,7 +8,7 @@
 // What is kept up to date change by change must be what a walk over all jobs would find.
 void test('load: sums and waiting jobs stay right through many changes', () => {
   const chance = new Chance(11);
-  const load = new Load();
+  const load = new QueueUsage();
   const jobs = new Map<string, JobRecord>();
   for (let step = 0; step < 2000; step++) {
     const uid = `j-${String(chance.int(0, 40))}`;
