--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -14,6 +14,9 @@
 const natural = v.pipe(v.number(), v.finite(), v.minValue(0));
 const share = v.pipe(v.number(), v.gtValue(0), v.maxValue(1000));
 
+/** Node itself and a small fleet: below this, the process would be killed and started again for ever. */
+const MIN_MEMORY_MB = 64;
+
 const Team = v.object({
   name: text,
   cpus: v.optional(natural, 0),
@@ -70,7 +73,7 @@
     cloud: v.object({ rps: positive, list_lag_s: natural }),
     quota: v.object({
       cpu_share: share,
-      memory_mb: positive,
+      memory_mb: v.pipe(v.number(), v.finite(), v.minValue(MIN_MEMORY_MB)),
       max_sockets: v.pipe(v.number(), v.integer(), v.minValue(16)),
     }),
   }),
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -37,6 +37,8 @@
   cloud: Caller;
   worker(address: string): Caller;
   peer(address: string): Ask;
+  /** Whether new jobs must be refused because memory runs out. */
+  memoryIsShort(): boolean;
 }
 
 /** One controller, put together. It starts nothing by itself before `start`. */
@@ -203,6 +205,7 @@
       writes,
       teams,
       flavors,
+      () => dependencies.memoryIsShort(),
       clock,
       log,
     );
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -36,6 +36,7 @@
     private readonly limiter: RateLimiter,
     private readonly teams: Map<string, TeamShare>,
     private readonly flavors: () => ReadonlyMap<string, Flavor>,
+    private readonly memoryIsShort: () => boolean,
     private readonly clock: Clock,
     private readonly log: Log,
   ) {}
@@ -73,6 +74,8 @@
 
   private async accept(uid: string, job: JobRecord): Promise<Reply> {
     if (this.state.jobs.has(uid)) return this.refuse(uid, { status: 503, why: 'try again' });
+    // A process killed for memory would come back to the same jobs and be killed again.
+    if (this.memoryIsShort()) return this.refuse(uid, { status: 503, why: 'memory is short' });
     const txn: Txn = {
       guards: [
         { key: keys.job(uid), stamp: 0 },
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -4,6 +4,7 @@
 import type { Operator } from './config/operator.js';
 import type { Settings } from './config/settings.js';
 import { makeLog } from './log.js';
+import { memoryGuard } from './memory-guard.js';
 import { meshLink, meshServer } from './mesh/link.js';
 import { httpCaller } from './wire/client.js';
 import { divide, Links } from './wire/links.js';
@@ -22,6 +23,10 @@
     cloud: httpCaller(settings.external.cloud, 4),
     worker: (address) => links.to(address),
     peer: meshLink,
+    memoryIsShort: memoryGuard(
+      settings.settings.quota.memory_mb * 1024 * 1024,
+      settings.settings.workers.report_s * 1000,
+    ),
   });
   const server = makeServer(controller.routes, {
     maxSockets: sockets.in,
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -131,6 +131,8 @@
   readonly workers = new Map<string, WorkerStand>();
   readonly specs = new Map<string, JobSpec>();
   readonly finals = new Map<string, string>();
+  /** Controllers whose memory runs out. */
+  readonly memoryShort = new Set<string>();
   /** Called when a task completes, at that moment. */
   onDone: ((uid: string) => void) | null = null;
   private readonly processes = new Map<string, Process>();
@@ -215,6 +217,7 @@
       storeWatch: caller(`store for ${host}`),
       cloud: caller('cloud'),
       worker: (address) => caller(address),
+      memoryIsShort: () => this.memoryShort.has(host),
       peer: (address) => async (ask, body, timeoutMs) => {
         const call: Call = { method: 'POST', path: ask, body, timeoutMs };
         return (await caller(address)(call)).body;
--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -160,6 +160,11 @@
   ['zone = "x"', 'zone = ', 'settings'],
   ['size = 1', 'size = 10', 'settings.state.txn_ops'],
   ['value_kb = 4.0', 'value_kb = 0.001', 'settings.state.value_kb'],
+  ['memory_mb = 100.0', 'memory_mb = 20.0', 'settings.quota.memory_mb'],
+  ['memory_mb = 100.0', 'memory_mb = nan', 'settings.quota.memory_mb'],
+  ['cpu_share = 0.2', 'cpu_share = 0.0', 'settings.quota.cpu_share'],
+  ['cpu_share = 0.2', 'cpu_share = -1.0', 'settings.quota.cpu_share'],
+  ['max_sockets = 500', 'max_sockets = 3', 'settings.quota.max_sockets'],
 ];
 for (const [from, to, named] of BAD_TOML)
   void test(`settings: ${to || `no ${from}`} is refused by name`, () => {
