--- /dev/null
+++ b/src/workers/ended-tasks.ts
@@ -0,0 +1,102 @@
+/** Tasks that are proved to be off their machines, until that is recorded. */
+import type { Clock } from '../clock.js';
+import { conclude, staysOn, type Allocation, type TaskOutcome } from '../jobs/life.js';
+import type { State } from '../store/state.js';
+import type { TransactionBuilder } from '../store/transaction-builder.js';
+
+interface EndedTask {
+  stay: Allocation;
+  end: TaskOutcome;
+  /** Term under which that was proved. */
+  term: number | null;
+}
+
+export interface EndedTasksOptions {
+  /** Ends are recorded together when the first has waited this long. */
+  gatherMs: number;
+  /** The first pause of a job whose tasks fail. */
+  pauseMs: number;
+}
+
+/** Gathers ends found by reports, leases and deletions for the next transaction. */
+export class EndedTasks {
+  private readonly byJob = new Map<string, EndedTask[]>();
+  /** When the oldest of them was found. */
+  private since = Infinity;
+
+  constructor(
+    private readonly options: EndedTasksOptions,
+    private readonly state: State,
+    private readonly clock: Clock,
+    private readonly termFor: (machine: string) => number | null,
+    private readonly wake: () => void,
+  ) {}
+
+  /** Whether this very allocation is known to be over. */
+  has(uid: string, { box, task, attempt }: Allocation): boolean {
+    return (this.byJob.get(uid) ?? []).some(
+      ({ stay }) => stay.box === box && stay.task === task && stay.attempt === attempt,
+    );
+  }
+
+  add(uid: string, stay: Allocation, end: TaskOutcome): void {
+    if (this.has(uid, stay)) return;
+    const list = this.byJob.get(uid) ?? [];
+    list.push({ stay, end, term: this.termFor(stay.box) });
+    this.byJob.set(uid, list);
+    if (this.state.jobs.get(uid)?.stop?.includes(stay.task)) {
+      // Somebody waits for its room.
+      this.since = -Infinity;
+      this.wake();
+    } else if (this.since === Infinity) {
+      this.since = this.clock.now();
+      this.clock.after(this.options.gatherMs, this.wake);
+    }
+  }
+
+  /** Whether they have waited long enough to be recorded even if nothing else is. */
+  due(): boolean {
+    return this.clock.now() - this.since >= this.options.gatherMs;
+  }
+
+  /**
+   * Takes them into a transaction. Returns what to call once it is committed, which tells the machines whose
+   * tasks it ended.
+   */
+  addTo(transaction: TransactionBuilder): () => Set<string> {
+    const taken: string[] = [];
+    for (const [uid, list] of this.byJob) {
+      const job = transaction.job(uid);
+      const valid = job ? list.filter((ended) => this.stillValid(ended, job)) : [];
+      if (!job || valid.length === 0) {
+        this.byJob.delete(uid);
+        continue;
+      }
+      const next = conclude(job, valid, this.clock.wall(), this.options.pauseMs);
+      if (transaction.set(uid, next)) taken.push(uid);
+    }
+    if (this.byJob.size === 0) this.since = Infinity;
+    return () => this.forget(taken);
+  }
+
+  /** A machine that was lost and came back under a higher term may have been kept alive meanwhile. */
+  private stillValid({ stay, term }: EndedTask, job: Parameters<typeof staysOn>[0]): boolean {
+    return (
+      term !== null &&
+      this.termFor(stay.box) === term &&
+      staysOn(job, stay.box).some(
+        (known) => known.task === stay.task && known.attempt === stay.attempt,
+      )
+    );
+  }
+
+  private forget(uids: string[]): Set<string> {
+    const machines = new Set<string>();
+    for (const uid of uids) {
+      for (const { stay } of this.byJob.get(uid) ?? []) machines.add(stay.box);
+      this.byJob.delete(uid);
+    }
+    this.since = this.byJob.size > 0 ? this.clock.now() : Infinity;
+    return machines;
+  }
+}
--- a/src/workers/manager.ts
+++ b/src/workers/manager.ts
@@ -1,17 +1,22 @@
+/** Takes the workers' reports and sends them their commands. */
 import { within, type Clock } from '../clock.js';
 import type { DomainManager } from '../domain/manager.js';
-import { conclude, staysOn, type TaskOutcome, type Allocation } from '../jobs/life.js';
+import { staysOn, type TaskOutcome } from '../jobs/life.js';
 import type { Log } from '../log.js';
 import type { Proposal, Source } from '../store/commit-loop.js';
 import type { TransactionBuilder } from '../store/transaction-builder.js';
-import { asBody, keys, type Hold, type JobRecord } from '../store/records.js';
+import { keys, type Hold, type JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
 import type { Caller } from '../wire/client.js';
 import { NoAnswer, NotSent } from '../wire/client.js';
 import type { Body } from '../wire/codec.js';
 import type { Reply } from '../wire/server.js';
+import { AddressRecorder } from './address-recorder.js';
+import { Connectivity } from './connectivity.js';
+import { EndedTasks } from './ended-tasks.js';
 import { difference, indexTasks, taskKey, type Order } from './orders.js';
-import { parseReport, splitTask, type Report, type TaskReport } from './report.js';
+import { parseReport, splitTask, type Report } from './report.js';
+import { newSession, type WorkerSession } from './worker-session.js';
 
 export interface WorkerManagerOptions {
   self: string;
@@ -27,68 +32,22 @@
   callMs: number;
 }
 
-/** What this controller knows of one machine of its domain. */
-export interface Machine {
-  id: string;
-  /** Where it said that it can be called; empty until it has. */
-  address: string;
-  term: number;
-  /** When this process became its owner under this term. */
-  since: number;
-  /** Generation of the store in which it did. */
-  asOf: number;
-  tenure: number;
-  tick: number;
-  tasks: Map<string, TaskReport>;
-  /** What was launched under the present term and tenure: a copy of that request may come late. */
-  launched: Set<string>;
-  /** The worker has shown this term, so no command of a lower one can be executed any more. */
-  fenced: boolean;
-  /** Last sign of life, or last answer that may have renewed its lease. */
-  heardAt: number;
-  warned: boolean;
-  calling: boolean;
-  again: boolean;
-  /** A request with launches got no answer; it may be executed as long as term and tenure match. */
-  doubt: { term: number; tenure: number } | null;
-  /** Its lease has run out for certain since it was last heard. */
-  lapsed: boolean;
-  /** Failures since the last success there, by job. */
-  errors: Set<string>;
-  failedCalls: number;
-  retryAt: number;
-}
-
 const MAX_ORDERS = 200;
 /** Stopped tasks that a machine goes on showing before its term is raised. */
 const MOST_STOPPED = 16;
-/** Part of a worker's lease without a word of any worker after which this node takes itself for cut off. */
-const CUT_OFF = 0.4;
 /** Clocks drift by up to 0.05% each; a lease is taken as over only after this much more. */
 const DRIFT = 1.002;
 
 /** Takes the workers' reports, and makes the machines of the own domain do what is recorded. */
 export class WorkerManager {
-  private readonly machines = new Map<string, Machine>();
+  private readonly machines = new Map<string, WorkerSession>();
   private readonly callers = new Map<string, { address: string; caller: Caller }>();
-  /** What is proved over, with the term under which that was proved. */
-  private readonly endings = new Map<
-    string,
-    { stay: Allocation; end: TaskOutcome; term: number | null }[]
-  >();
-  /** When the oldest of the endings was found. */
-  private endingSince = Infinity;
+  private readonly ended: EndedTasks;
+  private readonly connectivity: Connectivity;
+  private readonly addresses: AddressRecorder;
   /** Machines that have come into doubt; those that are out of it again are sorted out when it is asked. */
-  private readonly doubtful = new Set<Machine>();
-  private addressAt = -Infinity;
+  private readonly doubtful = new Set<WorkerSession>();
   private burdenedAt = -Infinity;
-  /** Last report or answer of any worker, and last time that this process had stood still. */
-  private contactAt = -Infinity;
-  private steadySince = Infinity;
-  private tickedAt = -Infinity;
-  private probing = false;
-  private probed = 0;
-
   constructor(
     private readonly figures: WorkerManagerOptions,
     private readonly state: State,
@@ -101,7 +60,30 @@
     private readonly knownUntil: () => number,
     /** What peers say of jobs and machines before the replica does. */
     private readonly peers: { isCalledOff(uid: string): boolean; isLost(box: string): boolean },
-  ) {}
+  ) {
+    this.ended = new EndedTasks(
+      { gatherMs: figures.gatherMs, pauseMs: figures.reportMs },
+      state,
+      clock,
+      (machine) => domainManager.termFor(machine),
+      wake,
+    );
+    this.connectivity = new Connectivity(
+      figures,
+      state,
+      clock,
+      (id, address) => this.callerTo(id, address),
+      () => {
+        domainManager.reachable();
+      },
+    );
+    this.addresses = new AddressRecorder(
+      { txnOps: figures.txnOps, everyMs: figures.addressMs },
+      state,
+      domainManager,
+      clock,
+    );
+  }
 
   /** A machine that may be given work: seen under the present term, alive, and nothing in doubt. */
   usable(id: string): boolean {
@@ -117,14 +99,14 @@
     );
   }
 
-  machine(id: string): Machine | undefined {
+  machine(id: string): WorkerSession | undefined {
     return this.machines.get(id);
   }
 
   async checkin(body: Body): Promise<Reply> {
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
-    this.contactAt = this.clock.now();
+    this.connectivity.heard();
     const term = await this.entitled(report);
     if (typeof term !== 'number') return term;
     const machine = this.own(report.box, term);
@@ -213,31 +195,18 @@
     }
   }
 
-  private own(id: string, term: number): Machine {
+  private own(id: string, term: number): WorkerSession {
     let machine = this.machines.get(id);
     if (!machine) {
-      const now = this.clock.now();
-      machine = {
-        id,
-        address: this.state.boxes.get(id)?.address ?? '',
-        term,
-        since: now,
-        asOf: this.ownedAsOf(id),
-        tenure: 0,
-        tick: 0,
-        tasks: new Map(),
-        launched: new Set(),
-        fenced: false,
-        heardAt: now,
-        warned: false,
-        calling: false,
-        again: false,
-        doubt: null,
-        lapsed: false,
-        errors: new Set(),
-        failedCalls: 0,
-        retryAt: 0,
-      };
+      machine = newSession(
+        {
+          id,
+          address: this.state.boxes.get(id)?.address ?? '',
+          term,
+          asOf: this.ownedAsOf(id),
+        },
+        this.clock.now(),
+      );
       this.machines.set(id, machine);
     } else if (machine.term !== term) {
       machine.term = term;
@@ -256,7 +225,7 @@
   }
 
   /** Takes up a report; returns the orders that follow from it, or null if it is older than what is known. */
-  private hear(machine: Machine, report: Report): Order[] | null {
+  private hear(machine: WorkerSession, report: Report): Order[] | null {
     if (
       report.tenure < machine.tenure ||
       (report.tenure === machine.tenure && report.tick <= machine.tick)
@@ -282,7 +251,7 @@
   }
 
   /** Notes what the picture proves; returns the orders that would close the difference. */
-  private compare(machine: Machine): Order[] {
+  private compare(machine: WorkerSession): Order[] {
     if (
       !machine.fenced ||
       machine.lapsed ||
@@ -311,7 +280,7 @@
         );
         // Absence proves nothing while a launch may still be executed.
         if (!shown && (machine.doubt || machine.calling)) continue;
-        this.end(uid, ending.stay, ending.end);
+        this.ended.add(uid, ending.stay, ending.end);
         if (ending.end === 'error') machine.errors.add(uid);
         if (ending.end === 'done') machine.errors.clear();
       }
@@ -319,40 +288,17 @@
     // A stay that is proved over must not begin again before that is committed: the commit would free
     // the task for another machine while it runs here.
     return orders
-      .filter((order) => order.verb !== 'launch' || !this.ending(machine.id, order))
+      .filter((order) => order.verb !== 'launch' || !this.isEnded(machine.id, order))
       .slice(0, MAX_ORDERS);
   }
 
-  private ending(box: string, order: Order): boolean {
+  private isEnded(box: string, order: Order): boolean {
     const { uid, task } = splitTask(order.task);
-    return (this.endings.get(uid) ?? []).some(
-      ({ stay }) => stay.box === box && stay.task === task && stay.attempt === order.try,
-    );
-  }
-
-  private end(uid: string, stay: Allocation, end: TaskOutcome): void {
-    const list = this.endings.get(uid) ?? [];
-    const same = list.some(
-      (known) =>
-        known.stay.box === stay.box &&
-        known.stay.task === stay.task &&
-        known.stay.attempt === stay.attempt,
-    );
-    if (same) return;
-    list.push({ stay, end, term: this.domainManager.termFor(stay.box) });
-    this.endings.set(uid, list);
-    if (this.state.jobs.get(uid)?.stop?.includes(stay.task)) {
-      // Somebody waits for its room.
-      this.endingSince = -Infinity;
-      this.wake();
-    } else if (this.endingSince === Infinity) {
-      this.endingSince = this.clock.now();
-      this.clock.after(this.figures.gatherMs, this.wake);
-    }
+    return this.ended.has(uid, { box, task, attempt: order.try });
   }
 
   /** Sends the machine its orders, one request at a time. */
-  kick(machine: Machine): void {
+  kick(machine: WorkerSession): void {
     if (machine.calling) {
       machine.again = true;
       return;
@@ -384,7 +330,7 @@
     });
   }
 
-  private async command(machine: Machine, address: string, orders: Order[]): Promise<void> {
+  private async command(machine: WorkerSession, address: string, orders: Order[]): Promise<void> {
     const { term, tenure } = machine;
     try {
       const { status, body } = await this.callerTo(
@@ -399,7 +345,7 @@
       const report = parseReport(body);
       if (!report || report.box !== machine.id || (status !== 200 && status !== 409))
         throw new NoAnswer(`commands: ${String(status)}`);
-      this.contactAt = this.clock.now();
+      this.connectivity.heard();
       if (this.machines.get(machine.id) !== machine) return;
       machine.calling = false;
       this.hear(machine, report);
@@ -430,15 +376,9 @@
     return caller;
   }
 
-  /**
-   * Nobody was heard for a good part of a lease, though several own machines had been, and this process has
-   * not stood still meanwhile: their reports would be waiting to be read.
-   */
+  /** No worker is heard any more, though several own ones had been. */
   cutOff(): boolean {
-    const now = this.clock.now();
-    const silence = now - Math.max(this.contactAt, this.steadySince);
-    if (silence < this.figures.leaseMs * CUT_OFF || now - this.tickedAt > this.figures.reportMs)
-      return false;
+    if (!this.connectivity.silent()) return false;
     let heard = 0;
     for (const machine of this.machines.values())
       if (machine.fenced && !machine.lapsed && this.domainManager.termFor(machine.id) !== null)
@@ -446,36 +386,11 @@
     return heard >= 2;
   }
 
-  /** Cut off, it asks one machine after the other how it is; any answer shows that it is cut off no longer. */
-  private probe(): void {
-    const ids = [...this.state.boxes.keys()];
-    const id = ids[this.probed++ % (ids.length || 1)] ?? '';
-    const address = this.state.boxes.get(id)?.address ?? '';
-    if (this.probing || address === '') return;
-    this.probing = true;
-    this.callerTo(
-      id,
-      address,
-    )({ method: 'GET', path: '/status', timeoutMs: this.figures.callMs })
-      .then(
-        () => {
-          this.domainManager.reachable();
-        },
-        (error: unknown) => {
-          if (!(error instanceof NoAnswer)) throw error;
-        },
-      )
-      .finally(() => {
-        this.probing = false;
-      });
-  }
-
   /** Regular look at all machines: leases that have certainly run out, and holds. */
   tick(): void {
     const now = this.clock.now();
-    if (now - this.tickedAt > this.figures.reportMs) this.steadySince = now;
-    this.tickedAt = now;
-    if (this.domainManager.steppedDown) this.probe();
+    this.connectivity.tick();
+    if (this.domainManager.steppedDown) this.connectivity.probe();
     for (const machine of this.machines.values()) {
       const term = this.domainManager.termFor(machine.id);
       if (term !== machine.term || machine.lapsed) continue;
@@ -496,7 +411,7 @@
     this.wake();
   }
 
-  private lapse(machine: Machine): void {
+  private lapse(machine: WorkerSession): void {
     machine.lapsed = true;
     machine.tasks = new Map();
     machine.doubt = null;
@@ -508,7 +423,7 @@
   clear(box: string, end: TaskOutcome): void {
     for (const uid of this.state.onBox.get(box) ?? []) {
       const job = this.state.jobs.get(uid);
-      if (job) for (const stay of staysOn(job, box)) this.end(uid, stay, end);
+      if (job) for (const stay of staysOn(job, box)) this.ended.add(uid, stay, end);
     }
   }
 
@@ -518,46 +433,19 @@
   }
 
   sources(): Source[] {
-    return [{ name: 'addresses', propose: () => this.proposeAddresses() }];
+    return [{ name: 'addresses', propose: () => this.addresses.propose(this.machines.values()) }];
   }
 
   /** Whether ends have waited long enough to be recorded even if nothing else is. */
   endingsDue(): boolean {
-    return this.clock.now() - this.endingSince >= this.figures.gatherMs;
+    return this.ended.due();
   }
 
   /** Takes the ends found so far into a transaction; returns what to do once it is done. */
   addEndings(transaction: TransactionBuilder): () => void {
-    const taken: string[] = [];
-    for (const [uid, list] of this.endings) {
-      const job = transaction.job(uid);
-      const valid = job
-        ? list.filter(
-            ({ stay, term }) =>
-              // A machine that was lost and came back under a higher term may have been kept alive meanwhile.
-              term !== null &&
-              this.domainManager.termFor(stay.box) === term &&
-              staysOn(job, stay.box).some(
-                (known) => known.task === stay.task && known.attempt === stay.attempt,
-              ),
-          )
-        : [];
-      if (!job || valid.length === 0) {
-        this.endings.delete(uid);
-        continue;
-      }
-      const next = conclude(job, valid, this.clock.wall(), this.figures.reportMs);
-      if (transaction.set(uid, next)) taken.push(uid);
-    }
-    if (this.endings.size === 0) this.endingSince = Infinity;
+    const recorded = this.ended.addTo(transaction);
     return () => {
-      const boxes = new Set<string>();
-      for (const uid of taken) {
-        for (const { stay } of this.endings.get(uid) ?? []) boxes.add(stay.box);
-        this.endings.delete(uid);
-      }
-      this.endingSince = this.endings.size > 0 ? this.clock.now() : Infinity;
-      for (const box of boxes) {
+      for (const box of recorded()) {
         const machine = this.machines.get(box);
         if (machine && !machine.lapsed) this.kick(machine);
       }
@@ -588,7 +476,7 @@
   }
 
   /** Machines that show more stopped tasks than they should: under a raised term, they may forget them. */
-  private burdened(): Machine[] {
+  private burdened(): WorkerSession[] {
     const now = this.clock.now();
     if (now - this.burdenedAt < this.figures.leaseMs) return [];
     this.burdenedAt = now;
@@ -603,45 +491,6 @@
     });
   }
 
-  /** Heirs call machines at their recorded addresses; those of new machines are known only from their reports. */
-  private proposeAddresses(): Proposal | null {
-    const now = this.clock.now();
-    if (now - this.addressAt < this.figures.addressMs) return null;
-    this.addressAt = now;
-    const lots = new Map<string, Record<string, string>>();
-    for (const { id, address, term } of this.machines.values()) {
-      const box = this.state.boxes.get(id);
-      if (!box || address === '' || box.address === address) continue;
-      if (this.domainManager.termFor(id) !== term) continue;
-      const lot = lots.get(box.lot) ?? {};
-      lot[id] = address;
-      lots.set(box.lot, lot);
-    }
-    if (lots.size === 0) return null;
-    const some = [...lots].slice(0, this.figures.txnOps);
-    return {
-      txn: {
-        guards: [
-          this.domainManager.guard(),
-          ...some.map(([name]) => ({
-            key: keys.lot(name),
-            stamp: this.state.stampOf(keys.lot(name)),
-          })),
-        ],
-        apply: some.flatMap(([name, addresses]) => {
-          const lot = this.state.lots.get(name);
-          if (!lot) return [];
-          const b = { ...lot.b, ...addresses };
-          return [{ put: keys.lot(name), value: asBody({ ...lot, b }) }];
-        }),
-      },
-      settled: (outcome) => {
-        // Others write to the same lots: what was in the way is tried again soon.
-        if (outcome.kind === 'conflict') this.addressAt = now - this.figures.addressMs / 2;
-      },
-    };
-  }
-
   /** Own machines that nothing may be placed on, for the peers to know. */
   held(): string[] {
     const held: string[] = [];
@@ -652,14 +501,14 @@
   }
 
   /** Why nothing may be placed on a machine. */
-  holdOf(machine: Machine): Hold | undefined {
+  holdOf(machine: WorkerSession): Hold | undefined {
     if (machine.warned) return 'warned';
     // One job that fails may be at fault itself; several that fail one after the other point to the machine.
     if (machine.errors.size >= 2) return 'sick';
     return this.silent(machine) ? 'silent' : undefined;
   }
 
-  silent(machine: Machine): boolean {
+  silent(machine: WorkerSession): boolean {
     return machine.lapsed || this.clock.now() - machine.heardAt > this.figures.reportMs * 3;
   }
 }
