Tests: controllers on the stand-ins have processor time; what is slow is not taken over

Each timer, request and answer of a controller takes its time on a processor of its own, and waits for those before it.

--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -1,14 +1,15 @@
 import { pino } from 'pino';
-import { OPERATOR_DEFAULTS } from '../../src/config/operator.js';
+import { OPERATOR_DEFAULTS, type Operator } from '../../src/config/operator.js';
 import type { Settings } from '../../src/config/settings.js';
 import { Controller } from '../../src/controller.js';
 import type { JobSpec } from '../../src/store/records.js';
-import type { Answer, Call } from '../../src/wire/client.js';
+import type { Answer, Call, Caller } from '../../src/wire/client.js';
 import type { Body } from '../../src/wire/codec.js';
 import { findRoute } from '../../src/wire/server.js';
 import { Checker, type Room } from './checker.js';
 import { CloudStand, type FlavorStand } from './cloud.js';
 import { Net } from './net.js';
+import { Processor } from './processor.js';
 import { StoreStand } from './store.js';
 import { Chance, VirtualTime } from './time.js';
 import { WorkerStand, type WorkerWorld } from './worker.js';
@@ -49,6 +50,9 @@
   teams: Settings['settings']['teams'];
   state: Settings['settings']['state'];
   cloudRps: number;
+  /** Processor time that each timer, request and answer takes of a controller. */
+  costMs: number;
+  operator: Operator;
 }
 
 const SMALL: Size = {
@@ -61,6 +65,8 @@
   ],
   state: { rps: 200, write_rps: 60, value_kb: 4, txn_ops: 12 },
   cloudRps: 10,
+  costMs: 0,
+  operator: OPERATOR_DEFAULTS,
 };
 
 function settingsFor(host: string, size: Size): Settings {
@@ -94,6 +100,7 @@
 }
 
 interface Process {
+  processor: Processor;
   controller: Controller;
   alive: boolean;
 }
@@ -120,6 +127,15 @@
   due_s: null,
 };
 
+/** Settles as `work` does, once the process has come to it. */
+function inTurn<T>(processor: Processor, work: Promise<T> | T): Promise<T> {
+  const settle = (): Promise<void> =>
+    new Promise((resolve) => {
+      processor.run(resolve);
+    });
+  return Promise.resolve(work).finally(settle);
+}
+
 /** Several controllers in one process, among stand-ins, under simulated time. */
 export class World {
   readonly time = new VirtualTime();
@@ -205,13 +221,17 @@
   }
 
   boot(host: string): void {
-    const process: Process = { alive: true, controller: null as unknown as Controller };
+    const processor = new Processor(this.time, this.size.costMs);
+    const process: Process = { processor, alive: true, controller: null as unknown as Controller };
     const alive = (): boolean => process.alive;
-    const caller = (to: string) => this.net.caller(host, () => to, alive);
+    const caller = (to: string): Caller => {
+      const call = this.net.caller(host, () => to, alive);
+      return (request) => inTurn(processor, call(request));
+    };
     const drift = this.chance.real(0.9995, 1.0005);
     const offset = this.chance.real(-100, 100);
-    process.controller = new Controller(settingsFor(host, this.size), OPERATOR_DEFAULTS, {
-      clock: this.time.clockOf(alive, drift, offset),
+    process.controller = new Controller(settingsFor(host, this.size), this.size.operator, {
+      clock: processor.clock(this.time.clockOf(alive, drift, offset)),
       log: pino({ level: 'silent' }),
       store: caller(`store for ${host}`),
       storeWatch: caller(`store for ${host}`),
@@ -224,7 +244,9 @@
       },
     });
     this.processes.set(host, process);
-    this.net.serve(host, (call) => this.route(process.controller, call));
+    this.net.serve(host, (call) =>
+      inTurn(processor, null).then(() => this.route(process.controller, call)),
+    );
     this.net.serve(`${host}:2`, async (call) => ({
       status: 200,
       body: await process.controller.serveMesh(call.path, call.body ?? {}),
@@ -232,6 +254,16 @@
     void process.controller.start();
   }
 
+  /** A controller stands still for that long, while its clocks go on. */
+  pauseHost(host: string, ms: number): void {
+    this.processes.get(host)?.processor.pause(ms);
+  }
+
+  /** Processor time that a controller's present process has used. */
+  busyMs(host: string): number {
+    return this.processes.get(host)?.processor.busyMs ?? 0;
+  }
+
   kill(host: string, backAfterMs: number): void {
     const process = this.processes.get(host);
     if (!process?.alive) return;
