--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -220,6 +220,23 @@
   await new Promise((resolve) => socket.once('close', resolve));
 });
 
+// Answers that nobody reads would pile up in memory, a connection's worth each.
+void test('server: a client that asks on and on and reads nothing is closed', async () => {
+  const body = encode({ uid: 'x'.repeat(6000) });
+  const head = `POST /v2/runs HTTP/1.1\r\nhost: a\r\ncontent-length: ${String(body.length)}\r\n\r\n`;
+  const request = Buffer.concat([Buffer.from(head), body]);
+  const socket = connect(portOf(direct), '127.0.0.1');
+  socket.on('error', () => undefined);
+  const closed = new Promise<void>((resolve) => socket.once('close', resolve));
+  const write = (): void => {
+    socket.write(request, (error) => {
+      if (!error) write();
+    });
+  };
+  write();
+  await closed;
+});
+
 /** A server that answers each piece it reads with the next of these, and then closes. */
 async function scripted(answers: string[]): Promise<{ address: string; close(): void }> {
   const left = [...answers];
