--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -1,6 +1,6 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { decodeMap, encode, type Body } from '../wire/codec.js';
-import { NoAnswer } from '../wire/client.js';
+import { NoAnswer, splitAddress } from '../wire/client.js';
 
 /** Frames between controllers: four bytes of length, then a CBOR map. */
 const HEADER = 4;
@@ -64,7 +64,7 @@
 
 /** One kept connection to a peer, made anew when it breaks or when an answer stays out. */
 export function meshLink(address: string): Ask {
-  const [host, port] = address.split(':');
+  const { host, port } = splitAddress(address);
   let socket: Socket | null = null;
   let nextId = 1;
   const open = new Map<number, { resolve(body: Body): void; reject(error: Error): void }>();
@@ -76,7 +76,7 @@
   };
   const link = (): Socket => {
     if (socket) return socket;
-    const fresh = connect({ host: host ?? '', port: Number(port), noDelay: true });
+    const fresh = connect({ host, port, noDelay: true });
     fresh.on('error', () => undefined);
     fresh.on('close', () => {
       drop(fresh);
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -6,7 +6,7 @@
 import { makeLog } from './log.js';
 import { memoryGuard } from './memory-guard.js';
 import { meshLink, meshServer } from './mesh/link.js';
-import { httpCaller } from './wire/client.js';
+import { httpCaller, splitAddress } from './wire/client.js';
 import { divide, Links } from './wire/links.js';
 import { makeServer } from './wire/server.js';
 
@@ -38,9 +38,9 @@
   });
   const listen = (target: Server, address: string): Promise<void> =>
     new Promise((resolve, reject) => {
-      const [host, port] = address.split(':');
+      const { host, port } = splitAddress(address);
       target.once('error', reject);
-      target.listen(Number(port), host, resolve);
+      target.listen(port, host, resolve);
     });
   const mesh = meshServer(controller.serveMesh, settings.others.length * 4);
   await listen(mesh, settings.internal_addr);
--- a/src/wire/connection-pool.ts
+++ b/src/wire/connection-pool.ts
@@ -114,7 +114,7 @@
     };
   }
 
-  /** Closes idle connections and gives up all requests. */
+  /** Closes all connections; the requests that they carry fail. Meant for a pool that is idle. */
   close(): void {
     for (const connection of [...this.open]) connection.destroy();
   }
--- a/src/wire/direct-connection.ts
+++ b/src/wire/direct-connection.ts
@@ -15,13 +15,19 @@
 export interface DirectConnectionOptions {
   /** Largest body that is served here; what is larger is Node's to refuse. */
   maxBodyBytes: number;
-  serve(head: RequestHead, body: Buffer, socket: Socket): Promise<Outgoing>;
+  serve(head: RequestHead, body: Buffer): Promise<Outgoing>;
   /** Takes the connection over, with the bytes that were read and not served. */
   handOver(socket: Socket, unread: Buffer): void;
   onClosed(connection: DirectConnection): void;
   now(): number;
 }
 
+/** A whole response that says no more than its status, and that the connection closes. */
+export function closingResponse(status: string): string {
+  return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+}
+
+const INCOMPLETE = closingResponse('400 Bad Request');
 const HEAD_END = Buffer.from('\r\n\r\n');
 const MAX_HEAD_BYTES = 8 * 1024;
 /** A request in more pieces than this is left to Node, which does not copy them over and over. */
@@ -129,7 +135,7 @@
   }
 
   private async answer(head: RequestHead, body: Buffer): Promise<void> {
-    const { bytes, close } = await this.options.serve(head, body, this.socket);
+    const { bytes, close } = await this.options.serve(head, body);
     this.busy = false;
     this.served++;
     this.activeAt = this.options.now();
@@ -163,5 +169,3 @@
     else this.options.handOver(socket, unread);
   }
 }
-
-const INCOMPLETE = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
--- a/src/wire/links.ts
+++ b/src/wire/links.ts
@@ -56,8 +56,7 @@
     const known = this.open.get(address);
     this.open.delete(address);
     if (!known && this.open.size >= this.most) this.closeIdle();
-    const { host, port } = splitAddress(address);
-    const link = known ?? { pool: new ConnectionPool(host, port, 1), busy: 0 };
+    const link = known ?? newLink(address);
     this.open.set(address, link);
     return link;
   }
@@ -72,3 +71,8 @@
     throw new NotSent('all links are busy');
   }
 }
+
+function newLink(address: string): Link {
+  const { host, port } = splitAddress(address);
+  return { pool: new ConnectionPool(host, port, 1), busy: 0 };
+}
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -8,7 +8,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import { decodeMap, encode, type Body } from './codec.js';
-import { DirectConnection, type Outgoing } from './direct-connection.js';
+import { closingResponse, DirectConnection, type Outgoing } from './direct-connection.js';
 import type { RequestHead } from './request-head.js';
 
 export interface Reply {
@@ -66,7 +66,7 @@
     if (!socket.writable) return;
     const status =
       error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    socket.end(closingResponse(status));
   });
   if (limits.direct !== false) serveDirectly(server, routes, limits, kept);
   return server;
--- a/src/workers/ended-tasks.ts
+++ b/src/workers/ended-tasks.ts
@@ -1,6 +1,7 @@
 /** Tasks that are proved to be off their machines, until that is recorded. */
 import type { Clock } from '../clock.js';
 import { conclude, staysOn, type Allocation, type TaskOutcome } from '../jobs/life.js';
+import type { JobRecord } from '../store/records.js';
 import type { State } from '../store/state.js';
 import type { TransactionBuilder } from '../store/transaction-builder.js';
 
@@ -80,7 +81,7 @@
   }
 
   /** A machine that was lost and came back under a higher term may have been kept alive meanwhile. */
-  private stillValid({ stay, term }: EndedTask, job: Parameters<typeof staysOn>[0]): boolean {
+  private stillValid({ stay, term }: EndedTask, job: JobRecord): boolean {
     return (
       term !== null &&
       this.termFor(stay.box) === term &&
