Tests: a job's state that goes back, a team over its limit: red, with the code as it stands

The stand-ins see more. After each transaction the records are audited (test/stand/store-audit.ts): the parts of a limit within the limit, what is recorded on a domain's machines within its part, no allocation without owner, job or twice. At the workers, use counts from the launch on, while images are fetched. An answer is judged by when its question was asked: what was asked before a final state was told may come after it with an older phase (two questions under way at once may be answered in either order), but done and cancelled never follow each other in any order.

--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { systemClock } from '../src/clock.js';
+import { DomainManager } from '../src/domain/manager.js';
+import { newJob, place } from '../src/jobs/life.js';
+import type { StoreClient, Txn } from '../src/store/client.js';
+import { keys, storeHead, storeJob, type JobSpec } from '../src/store/records.js';
+import { State } from '../src/store/state.js';
+import { TransactionBuilder } from '../src/store/transaction-builder.js';
+import type { Body } from '../src/wire/codec.js';
+import { auditRecords } from './stand/store-audit.js';
+import { StoreStand } from './stand/store.js';
+import { Chance, VirtualTime } from './stand/time.js';
+import { JOB } from './stand/world.js';
+
+const LIMITS = { txnOps: 12, valueBytes: 1024, bytes: 40_000 };
+const HOST = 'a';
+const MACHINES = ['i-000000', 'i-000001'];
+/** The team's limit, all of it held by the one domain: it is enough for 4 tasks of the jobs below. */
+const LIMIT = { cpus: 8, cards: 0 };
+const FILLER = 'j-filler';
+const LONG_NAME = `j-long${'x'.repeat(55)}`;
+
+/** A store that holds a domain with two machines and jobs that wait, and the domain's view of it. */
+class Domain {
+  readonly store = new StoreStand(new VirtualTime(), new Chance(1), { value_kb: 1, txn_ops: 12 });
+  readonly violations: string[] = [];
+
+  constructor() {
+    this.store.onApplied = (records) => {
+      const limits = new Map([['red', LIMIT]]);
+      for (const { rule, what } of auditRecords(records, limits))
+        this.violations.push(`${rule}: ${what}`);
+    };
+  }
+
+  async commit(txn: Txn): Promise<{ status: number; generation: number }> {
+    const body = { ...txn } as unknown as Body;
+    const answer = await this.store.handle(HOST, {
+      method: 'POST',
+      path: '/commit',
+      body,
+      timeoutMs: 1000,
+    });
+    return { status: answer.status, generation: Number(answer.body['generation']) };
+  }
+
+  /** Commits, and takes what was committed into these views of the store. */
+  async apply(txn: Txn, ...views: State[]): Promise<void> {
+    const { status, generation } = await this.commit(txn);
+    assert.equal(status, 200);
+    for (const view of views) {
+      view.replica.applied(txn.apply, generation);
+      view.replica.generation = generation;
+    }
+  }
+}
+
+const view = (): State => new State(() => undefined);
+
+const job = (spec: Partial<JobSpec> = {}): Body =>
+  storeJob(newJob({ ...JOB, tasks: 200, ...spec }, 0));
+
+const setUp = (): Txn => ({
+  guards: [],
+  apply: [
+    { put: keys.domain(HOST), value: storeHead({ inc: 1, term: 1, quota: { red: LIMIT } }) },
+    { put: keys.own(HOST, 0), value: { 1: MACHINES } },
+    { put: keys.job(FILLER), value: job({ cpus: 0 }) },
+    { put: keys.job(LONG_NAME), value: job() },
+    { put: keys.job('j-short'), value: job() },
+  ],
+});
+
+/** A transaction of the domain that places tasks of a job, decided from that view. */
+function placing(from: State, uid: string, machines: string[]): Txn {
+  const builder = new TransactionBuilder(from, HOST, LIMITS);
+  builder.guard({ key: keys.domain(HOST), stamp: from.stampOf(keys.domain(HOST)) });
+  const known = from.jobs.get(uid);
+  assert.ok(known && builder.set(uid, place(known, machines)));
+  return builder.txn();
+}
+
+// A commit that was carried out without an answer, or that an earlier process of the same controller left
+// behind, may be missing in the view that the next one is made from. What it placed counts all the same.
+void test('limits: what is placed in ignorance of an own earlier commit is refused by the store', async () => {
+  const domain = new Domain();
+  const known = view();
+  const behind = view();
+  await domain.apply(setUp(), known, behind);
+  // What uses nothing of the limit fills the first part, but for a short name.
+  const fill = placing(known, FILLER, Array<string>(157).fill(MACHINES[0] ?? ''));
+  await domain.apply(fill, known, behind);
+
+  const first = placing(known, 'j-short', Array<string>(3).fill(MACHINES[0] ?? ''));
+  await domain.apply(first, known);
+  const second = placing(behind, LONG_NAME, Array<string>(3).fill(MACHINES[1] ?? ''));
+  const parts = (txn: Txn): string[] =>
+    txn.apply.flatMap((one) => ('put' in one && one.put.includes('/run/') ? [one.put] : []));
+  assert.notDeepEqual(parts(first), parts(second), 'they are recorded in different parts');
+
+  assert.equal((await domain.commit(second)).status, 409);
+  assert.deepEqual(domain.violations, []);
+});
+
+/** The manager of the domain, as far as it lays out transactions from that view. */
+const managerOf = (from: State): DomainManager =>
+  new DomainManager(
+    {
+      self: HOST,
+      peers: ['b'],
+      size: 2,
+      renewMs: 700,
+      leaseMs: 2100,
+      listMs: 10_000,
+      gatherMs: 500,
+      txnOps: LIMITS.txnOps,
+      valueBytes: LIMITS.valueBytes,
+    },
+    new Map(),
+    undefined as unknown as StoreClient,
+    from,
+    systemClock,
+    pino({ level: 'silent' }),
+    () => undefined,
+    () => undefined,
+    () => false,
+  );
+
+// What is recorded on a machine that no domain holds is counted against nobody's part, and nobody ends it.
+void test('limits: a machine is not dropped in ignorance of what was placed on it', async () => {
+  const domain = new Domain();
+  const known = view();
+  const behind = view();
+  await domain.apply(setUp(), known, behind);
+  const [machine = ''] = MACHINES;
+  await domain.apply(placing(known, 'j-short', [machine]), known);
+  const { guards, apply } = managerOf(behind).change({ drop: [machine] });
+  assert.equal((await domain.commit({ guards, apply })).status, 409);
+  assert.deepEqual(domain.violations, []);
+});
+
+void test('limits: a machine without an owner is not forgotten in ignorance of its first claim', async () => {
+  const domain = new Domain();
+  const known = view();
+  const behind = view();
+  await domain.apply(setUp(), known, behind);
+  const machine = 'i-000009';
+  const claim: Txn = {
+    guards: [],
+    apply: [
+      { put: keys.own('b', 0), value: { 1: [machine] } },
+      { put: keys.newcomers, value: { n: 1 } },
+    ],
+  };
+  await domain.apply(claim, known);
+  const { guards, apply } = managerOf(behind).change({ drop: [machine] });
+  const lot = { delete: keys.lot('r-1') };
+  assert.equal((await domain.commit({ guards, apply: [...apply, lot] })).status, 409);
+});
--- a/test/stand/checker.ts
+++ b/test/stand/checker.ts
@@ -38,8 +38,16 @@
   private readonly jobs = new Map<string, JobSpec>();
   private readonly on = new Map<string, Stay>();
   private readonly told = new Map<string, string>();
+  /** Job -> the final state that some node told first, and when. */
+  private readonly final = new Map<string, { phase: string; at: number }>();
+  /** What holds room on machines, from the launch on: images being fetched count, unheard machines too. */
+  private readonly occupied = new Map<string, Stay>();
+  /** Teams over their limit now, what is being fetched counted. */
+  private readonly over = new Set<string>();
   private readonly asked = new Set<string>();
   private readonly heardAt = new Map<string, number>();
+  /** Job -> when a user was first told that it is accepted. */
+  private readonly acceptedAt = new Map<string, number>();
   private readonly lost = new Set<string>();
   /** When the last trouble was over. */
   troublesOver = 0;
@@ -76,26 +84,62 @@
     this.asked.add(uid);
   }
 
-  /** What a user was answered: a status, and the phase if there was one. */
-  answered(uid: string, status: number, phase: string | null, now: number): void {
-    const before = this.told.get(uid);
+  /**
+   * What a user was answered: a status, and the phase if there was one. What was asked before a final state
+   * was told may get an older answer after it, but never another final state.
+   */
+  answered(
+    uid: string,
+    status: number,
+    phase: string | null,
+    now: number,
+    askedAt: number = now,
+  ): void {
     if (status === 200 || status === 201) {
-      if (this.impossible.has(uid)) this.note('accepted_wrong', uid, now);
-      else if (!this.jobs.has(uid)) this.note('invented', uid, now);
-      if ((before === 'done' || before === 'cancelled') && phase !== before)
-        this.note('went_back', `${uid}: ${before}, then ${String(phase)}`, now);
-      if (phase === 'cancelled' && !this.asked.has(uid))
-        this.note('went_back', `${uid}: cancelled without being asked`, now);
-      if (phase === 'done' && (this.done.get(uid)?.size ?? 0) < (this.jobs.get(uid)?.tasks ?? 0))
-        this.note('not_done', uid, now);
-      this.told.set(uid, phase ?? 'pending');
+      this.checkAnswer(uid, phase, now, askedAt);
+      this.told.set(uid, this.final.get(uid)?.phase ?? phase ?? 'pending');
       this.heardAt.set(uid, now);
+      if (!this.acceptedAt.has(uid)) this.acceptedAt.set(uid, now);
       if (phase === 'cancelled' && !this.cancelled.has(uid)) this.cancelled.set(uid, now);
-    } else if (before !== undefined && (status === 404 || status === 400 || status === 422)) {
+    } else if (
+      (status === 404 || status === 400 || status === 422) &&
+      askedAt >= (this.acceptedAt.get(uid) ?? Infinity)
+    ) {
       this.note('forgotten', `${uid}: ${String(status)}`, now);
     }
   }
 
+  private checkAnswer(uid: string, phase: string | null, now: number, askedAt: number): void {
+    if (this.impossible.has(uid)) this.note('accepted_wrong', uid, now);
+    else if (!this.jobs.has(uid)) this.note('invented', uid, now);
+    const isFinal = phase === 'done' || phase === 'cancelled';
+    const final = this.final.get(uid);
+    if (final && phase !== final.phase && (isFinal || askedAt >= final.at))
+      this.note('went_back', `${uid}: ${final.phase}, then ${String(phase)}`, now);
+    if (isFinal && !final) this.final.set(uid, { phase, at: now });
+    if (phase === 'cancelled' && !this.asked.has(uid))
+      this.note('went_back', `${uid}: cancelled without being asked`, now);
+    if (phase === 'done' && (this.done.get(uid)?.size ?? 0) < (this.jobs.get(uid)?.tasks ?? 0))
+      this.note('not_done', uid, now);
+  }
+
+  /** A worker has taken up a launch: from now on the task holds room, before its image is there too. */
+  launched(box: string, uid: string, task: number, attempt: number, now: number): void {
+    this.occupied.set(`${box} ${uid}/${String(task)}#${String(attempt)}`, { uid, task, box });
+    const team = this.jobs.get(uid)?.owner;
+    if (team === undefined) return;
+    const isOver = this.exceeds(team, this.useOf(team, this.occupied.values()));
+    if (isOver && !this.over.has(team))
+      this.note('quota', `${team} with what is being fetched, by ${uid} on ${box}`, now);
+    if (isOver) this.over.add(team);
+    else this.over.delete(team);
+  }
+
+  /** The task holds no room on that machine any more. */
+  vacated(box: string, uid: string, task: number, attempt: number): void {
+    this.occupied.delete(`${box} ${uid}/${String(task)}#${String(attempt)}`);
+  }
+
   start(box: string, facts: BoxFacts, uid: string, task: number, now: number): void {
     this.starts.push({ box, uid, now });
     const spec = this.jobs.get(uid);
@@ -122,15 +166,27 @@
   private readonly facts = new Map<string, BoxFacts>();
 
   private checkQuota(team: string, now: number): void {
-    const { cpus, cards } = this.usedBy(team);
+    const used = this.usedBy(team);
+    if (this.exceeds(team, used))
+      this.note(
+        'quota',
+        `${team} uses ${String(used.cpus)} cpus, ${String(used.cards)} cards`,
+        now,
+      );
+  }
+
+  private exceeds(team: string, used: { cpus: number; cards: number }): boolean {
     const limit = this.limits.teams.get(team) ?? { cpus: 0, cards: 0 };
-    if (cpus > limit.cpus + 1e-6 || cards > limit.cards + 1e-6)
-      this.note('quota', `${team} uses ${String(cpus)} cpus, ${String(cards)} cards`, now);
+    return used.cpus > limit.cpus + 1e-6 || used.cards > limit.cards + 1e-6;
   }
 
   private usedBy(team: string): { cpus: number; cards: number } {
+    return this.useOf(team, this.on.values());
+  }
+
+  private useOf(team: string, stays: Iterable<Stay>): { cpus: number; cards: number } {
     const used = { cpus: 0, cards: 0 };
-    for (const stay of this.on.values()) {
+    for (const stay of stays) {
       const spec = this.jobs.get(stay.uid);
       if (spec?.owner !== team) continue;
       used.cpus += spec.cpus;
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -20,6 +20,12 @@
   refused = new Set<string>();
   /** How much longer each request takes. */
   slowMs = 0;
+  /** Host -> how much later it gets the answers to its watches, as they were when they were made. */
+  readonly watchDelayMs = new Map<string, number>();
+  /** Hosts whose reads and watches get 429; their transactions and leases are served. */
+  readonly readsRefused = new Set<string>();
+  /** Called after each transaction that was applied, with the records as they stand then. */
+  onApplied: ((records: Iterable<readonly [string, Body]>) => void) | null = null;
   /** Hosts whose transactions are carried out at once, but get no answer. */
   readonly unanswered = new Set<string>();
   /** Transactions that were carried out and not answered. */
@@ -64,7 +70,9 @@
     const url = new URL(`http://store${call.path}`);
     const path = url.pathname;
     const refused = this.refused.has('*') || this.refused.has(from);
-    if (path === '/changes') return this.changes(url, from);
+    const isRead = path === '/changes' || path.startsWith('/store');
+    if (isRead && this.readsRefused.has(from)) return { status: 429, body: {} };
+    if (path === '/changes') return this.changesLater(url, from);
     if (refused) return { status: 503, body: { error: 'trouble' } };
     if (path === '/commit') {
       const { body = {} } = call;
@@ -161,9 +169,14 @@
       else if (change.delete !== undefined) this.drop(change.delete);
     }
     this.notify();
+    this.onApplied?.(this.records());
     return { status: 200, body: { generation: this.generation } };
   }
 
+  private *records(): Generator<readonly [string, Body]> {
+    for (const [key, { value }] of this.keys) yield [key, value];
+  }
+
   private over(guards: number, apply: { put?: string; value?: Body }[], bytes: number): boolean {
     const { value_kb, txn_ops } = this.limits;
     const values = apply.map(({ value }) => JSON.stringify(value ?? {}).length);
@@ -209,6 +222,13 @@
     for (const wake of waiters) wake();
   }
 
+  private async changesLater(url: URL, from: string): Promise<Answer> {
+    const answer = await this.changes(url, from);
+    const delayMs = this.watchDelayMs.get(from) ?? 0;
+    if (delayMs > 0) await new Promise<void>((done) => this.time.after(delayMs, done));
+    return answer;
+  }
+
   private async changes(url: URL, from: string): Promise<Answer> {
     const under = url.searchParams.get('under') ?? '';
     const since = Number(url.searchParams.get('since') ?? 0);
--- a/test/stand/worker.ts
+++ b/test/stand/worker.ts
@@ -234,6 +234,7 @@
     else if (busy.some((other) => other.name === name)) this.exit(task, 'in_use');
     else if (!this.fits(spec, busy)) this.exit(task, 'full');
     else {
+      this.world.checker.launched(this.id, uid, task.task, attempt, this.world.time.now);
       const wait = this.images.has(spec.image) ? 1 : this.world.chance.real(300, 2000);
       this.later(task, wait, () => {
         this.images.add(spec.image);
@@ -349,8 +350,10 @@
 
   /** Off the machine, whatever the reason. */
   private leave(task: Task, completed: boolean): void {
+    const { checker } = this.world;
     if (task.phase !== 'fetching' && task.phase !== 'exited')
-      this.world.checker.end(this.id, task.uid, task.task, completed);
+      checker.end(this.id, task.uid, task.task, completed);
+    if (task.phase !== 'exited') checker.vacated(this.id, task.uid, task.task, task.attempt);
     const key = `${task.uid}#${String(task.attempt)}`;
     const mates = this.world.gangs.get(key);
     if (!mates?.delete(task) || completed) return;
--- a/test/stand/world.ts
+++ b/test/stand/world.ts
@@ -6,10 +6,11 @@
 import type { Answer, Call, Caller } from '../../src/wire/client.js';
 import type { Body } from '../../src/wire/codec.js';
 import { findRoute } from '../../src/wire/server.js';
-import { Checker, type Room } from './checker.js';
+import { Checker, type Limits, type Room } from './checker.js';
 import { CloudStand, type FlavorStand } from './cloud.js';
 import { Net } from './net.js';
 import { Processor } from './processor.js';
+import { auditRecords, type Violation } from './store-audit.js';
 import { StoreStand } from './store.js';
 import { Chance, VirtualTime } from './time.js';
 import { WorkerStand, type WorkerWorld } from './worker.js';
@@ -149,6 +150,8 @@
   readonly finals = new Map<string, string>();
   /** Controllers whose memory runs out. */
   readonly memoryShort = new Set<string>();
+  /** What the records in the store broke after some transaction. */
+  readonly recordsBroken: (Violation & { at: number })[] = [];
   /** Called when a task completes, at that moment. */
   onDone: ((uid: string) => void) | null = null;
   private readonly processes = new Map<string, Process>();
@@ -169,6 +172,9 @@
       ]),
     );
     this.checker = new Checker({ teams, cancelMs: CANCEL_S * 1000 });
+    this.store.onApplied = (records) => {
+      this.audit(records, teams);
+    };
     this.workerWorld = {
       time: this.time,
       chance: this.chance,
@@ -220,6 +226,15 @@
     look();
   }
 
+  /** Each violation of the records once, in the order in which they came up. */
+  private audit(records: Iterable<readonly [string, Body]>, limits: Limits['teams']): void {
+    for (const { rule, what } of auditRecords(records, limits)) {
+      const last = this.recordsBroken.at(-1);
+      if (last?.rule !== rule || last.what !== what)
+        this.recordsBroken.push({ rule, what, at: Math.round(this.time.now) });
+    }
+  }
+
   boot(host: string): void {
     const processor = new Processor(this.time, this.size.costMs);
     const process: Process = { processor, alive: true, controller: null as unknown as Controller };
@@ -367,6 +382,7 @@
     const from = alive.length > 0 ? alive : hosts;
     const host = via ?? from[this.chance.int(0, from.length - 1)] ?? '';
     const call: Call = { method, path, timeoutMs, ...(body ? { body } : {}) };
+    const askedAt = this.time.now;
     try {
       const answer = await this.net.caller(
         'user',
@@ -374,7 +390,7 @@
         () => true,
       )(call);
       const phase = typeof answer.body['phase'] === 'string' ? answer.body['phase'] : null;
-      this.checker.answered(uid, answer.status, phase, this.time.now);
+      this.checker.answered(uid, answer.status, phase, this.time.now, askedAt);
       return { status: answer.status, phase };
     } catch {
       return { status: 0, phase: null };
