A placement guards all that the own part of a limit was reckoned from, not only what it writes

Cause: what may still be placed follows from all parts that record a domain's tasks, but a placement guarded only the part that it wrote. A commit of this controller that its replica lacks (carried out without an answer while the watch is behind, left behind by the incarnation before, or taken back by a full reading of the store) had used the limit in another part; the next placement used it again, and the store accepted both. So a team went over its limit. With a machine dropped in the same ignorance, what had just been recorded on it was counted against nobody's part.

Change: whoever adds allocations guards all own parts and the absence of the next; whoever drops machines does so too, and guards the record of first claims if a machine has no owner. The other ways into that ignorance are closed too: a 400 to a repeat is not 'not executed' any more, and a full reading does not take back own commits that are newer.

--- a/src/domain/manager.ts
+++ b/src/domain/manager.ts
@@ -424,7 +424,18 @@
    */
   change(change: { drop?: Iterable<string>; set?: ReadonlyMap<string, number> }): Txn {
     const apply = this.reshard(this.figures.self, change);
-    return { guards: [this.guard(), ...this.guardsOn(apply)], apply };
+    const drops = change.drop ? this.dropGuards(change.drop) : [];
+    return { guards: [this.guard(), ...drops, ...this.guardsOn(apply)], apply };
+  }
+
+  /**
+   * A machine is dropped only while nothing is recorded on it: no domain would count that, nor end it. For
+   * own machines the own parts say so; one without an owner may have been claimed meanwhile.
+   */
+  private dropGuards(machines: Iterable<string>): Guard[] {
+    const parts = this.state.partKeys(this.figures.self).map((key) => this.guardOn(key));
+    const isUnowned = [...machines].some((machine) => !this.state.ownerOf(machine));
+    return isUnowned ? [...parts, this.guardOn(keys.newcomers)] : parts;
   }
 
   /** Machines that reported here and that no domain holds: found at the start, or rented by a late request. */
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -19,7 +19,7 @@
 
 export type Outcome =
   | { kind: 'done'; generation: number }
-  /** A guard failed, so it was not executed now; an earlier unanswered copy may have been. */
+  /** Not executed now, as a guard failed; an earlier unanswered copy may have been. */
   | { kind: 'conflict'; generation: number; failed: string[] }
   /** Certainly not executed. */
   | { kind: 'refused'; status: number };
@@ -76,7 +76,8 @@
           };
         // Refused as a whole only if no earlier copy of it is still on its way.
         if (status >= 400 && tries === 0) return { kind: 'refused', status };
-        if (status === 400) return { kind: 'refused', status };
+        // It will never be accepted any more, but an earlier copy may have been while its lease lasted.
+        if (status === 400) return { kind: 'conflict', generation: 0, failed: [] };
       } catch (error) {
         if (!(error instanceof NoAnswer)) throw error;
         this.log.info({ err: error.message }, 'commit without answer');
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -41,15 +41,17 @@
 
   /**
    * Starts over from a full reading, whose parts are of different moments, together with all that was
-   * changed since the first of them was read.
+   * changed since the first of them was read. Own commits confirmed after that stay: nothing goes back.
    */
   load(items: Item[], generation: number, asOf: number, since: Changes, sinceAsOf: number): void {
     const seen = new Set(items.map((item) => item.key));
-    for (const key of [...this.entries.keys()]) if (!seen.has(key)) this.drop(key);
-    for (const item of items) this.set(item.key, item.value, item.stamp);
+    for (const [key, { stamp }] of [...this.entries])
+      if (!seen.has(key) && stamp <= since.generation) this.drop(key);
+    for (const { key, value, stamp } of items)
+      if (stamp >= this.stampOf(key) && (this.removed.get(key) ?? 0) < stamp)
+        this.set(key, value, stamp);
     this.generation = generation;
     this.freshAt = asOf;
-    this.removed.clear();
     this.follow(since, sinceAsOf);
   }
 
--- a/src/store/transaction-builder.ts
+++ b/src/store/transaction-builder.ts
@@ -167,10 +167,15 @@
     }
   }
 
-  /** Adds to the own parts that have the job already, then to others with room, machine by machine. */
+  /**
+   * Adds to the own parts that have the job already, then to others with room, machine by machine. What
+   * may be added follows from what all own parts hold, so all of them are guarded: an own commit that this
+   * process does not know of, of an earlier incarnation or without an answer, makes this one fail.
+   */
   private add(uid: string, added: [string, number[]][], changed: Map<string, Body>): boolean {
     const most = Math.floor(this.limits.txnOps * PARTS_PER_OP);
     const own = this.state.partKeys(this.host);
+    for (const key of own) this.guard({ key, stamp: this.state.stampOf(key) });
     for (let n = own.length; n < most; n++) own.push(keys.run(this.host, n));
     const has = (key: string): boolean => uid in this.run(key, changed);
     const left = [...added];
