A job is done only when that is recorded in its place: an end and a cancellation exclude each other

Cause: the end of an array's task takes the task out of the records of a domain and leaves the job's record as it was. A controller that knew all ends told its users done; another one, behind on the watch, guarded a cancellation by the job's record alone, which had not changed, and told cancelled. Also without any trouble: a watch's delay is enough.

Change: the final state is one record that every way to it makes and guards. Whoever records the last end replaces the job by its final state in the same transaction if that fits; otherwise one of the live controllers does, or the one that is asked, before it answers. Nothing derived from what is left of a job is told as done any more. A cancellation of a job that is over by this replica commits its end instead.

--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -104,37 +104,70 @@
     while (this.clock.now() < until) {
       const early = this.final(uid);
       if (early) return early;
-      let job = this.state.jobs.get(uid);
-      if (!job) {
+      if (!this.state.jobs.has(uid)) {
         const known = await this.lookUp(uid, until - this.clock.now());
         if (known === 'unknown') return later();
         if (known === 'absent' || 'end' in known) return this.tell(uid, known);
-        job = known.job;
       }
-      const over = finalState(job);
-      if (job.cancelled || over === 'done') {
-        // Already so by this replica, and it stays so: both are final.
-        return { status: 200, body: { uid, phase: job.cancelled ? 'cancelled' : 'done' } };
-      }
-      const key = keys.job(uid);
-      const stamp = this.state.stampOf(key);
-      const outcome = await this.commit({
-        guards: [{ key, stamp }],
-        apply: [{ put: key, value: storeJob({ ...job, cancelled: true }) }],
-      });
-      if (outcome?.kind === 'done') return { status: 200, body: { uid, phase: 'cancelled' } };
+      // Read only now: what was found before the last wait may have changed since.
+      const job = this.state.jobs.get(uid);
+      if (!job) continue;
+      if (job.cancelled) return cancelled(uid);
+      const isDone = finalState(job) === 'done';
+      const outcome = await (isDone ? this.conclude(uid) : this.cancel(uid, job));
+      if (outcome?.kind === 'done' && !isDone) return cancelled(uid);
+      if (outcome?.kind === 'done') continue;
       if (outcome?.kind !== 'conflict') return later();
       if (!(await this.watcher.current(this.figures.pollMs))) return later();
     }
     return later();
   }
 
+  private cancel(uid: string, job: JobRecord): Promise<Outcome | null> {
+    const key = keys.job(uid);
+    return this.commit({
+      guards: [{ key, stamp: this.state.stampOf(key) }],
+      apply: [{ put: key, value: storeJob({ ...job, cancelled: true }) }],
+    });
+  }
+
+  /**
+   * Commits the final state of a job that is over. An end that took only a part of a domain's records has
+   * not changed the job, so a cancellation may still come first: the job's record decides between them.
+   */
+  private conclude(uid: string): Promise<Outcome | null> {
+    const under = this.concluding.get(uid);
+    if (under) return under;
+    const ending = this.ending(uid);
+    if (!ending) return Promise.resolve(null);
+    const work = this.commit(ending).finally(() => this.concluding.delete(uid));
+    this.concluding.set(uid, work);
+    return work;
+  }
+
+  /** The transaction that replaces the record of a job that is over by its final state. */
+  private ending(uid: string): Txn | null {
+    const job = this.state.jobs.get(uid);
+    const ph = job ? finalState(job) : null;
+    if (!job || ph === null) return null;
+    const end: EndRecord = { ph, tasks: job.s.tasks };
+    return {
+      guards: [
+        { key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) },
+        { key: keys.end(uid), stamp: 0 },
+      ],
+      apply: [{ delete: keys.job(uid) }, { put: keys.end(uid), value: asBody(end) }],
+    };
+  }
+
   /** Jobs that are over leave the replica; their final state is kept for good under a key of its own. */
   source(): Source {
     return { name: 'finish', propose: () => this.finish() };
   }
 
   private readonly over = new Set<string>();
+  /** Jobs whose final state is being committed because somebody asked. */
+  private readonly concluding = new Map<string, Promise<Outcome | null>>();
 
   noteJob(uid: string): void {
     const job = this.state.jobs.get(uid);
@@ -147,20 +180,13 @@
     const guards: Guard[] = [];
     const apply: Change[] = [];
     for (const uid of this.over) {
-      const job = this.state.jobs.get(uid);
-      const ph = job ? finalState(job) : null;
-      if (!job || ph === null) {
-        this.over.delete(uid);
-        continue;
-      }
+      const ending = this.ending(uid);
+      if (!ending) this.over.delete(uid);
       // One of the live controllers does it; which one does not matter, as the guards decide.
-      if (turnOf(uid, hosts, this.figures.self) !== 0) continue;
-      const end: EndRecord = { ph, tasks: job.s.tasks };
-      guards.push(
-        { key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) },
-        { key: keys.end(uid), stamp: 0 },
-      );
-      apply.push({ delete: keys.job(uid) }, { put: keys.end(uid), value: asBody(end) });
+      if (!ending || this.concluding.has(uid) || turnOf(uid, hosts, this.figures.self) !== 0)
+        continue;
+      guards.push(...ending.guards);
+      apply.push(...ending.apply);
       if (apply.length + 2 > this.figures.txnOps) break;
     }
     return apply.length > 0 ? { txn: { guards, apply } } : null;
@@ -171,16 +197,31 @@
     return end ? this.tell(uid, { end }) : null;
   }
 
-  /** What is known of a job as of now; `unknown` when the store cannot be asked. */
+  /**
+   * What is known of a job as of now; `unknown` when the store cannot be asked. A job that is done is told
+   * to be so only when that is recorded in its place, so it is recorded now.
+   */
   private async lookUp(uid: string, timeoutMs: number): Promise<Known> {
     const until = this.clock.now() + timeoutMs;
-    if (!(await this.watcher.current(timeoutMs))) return 'unknown';
-    const job = this.state.jobs.get(uid);
-    if (job) return { job };
+    for (;;) {
+      const leftMs = until - this.clock.now();
+      if (leftMs <= 0 || !(await this.watcher.current(leftMs))) return 'unknown';
+      const job = this.state.jobs.get(uid);
+      if (!job) return this.lookUpEnd(uid, until);
+      if (job.cancelled || finalState(job) === null) return { job };
+      const rest = Math.max(1, until - this.clock.now());
+      const outcome = await within(this.clock, rest, this.conclude(uid), null);
+      if (outcome?.kind !== 'done' && outcome?.kind !== 'conflict') return 'unknown';
+    }
+  }
+
+  /**
+   * The final state of a job that was not among the live ones at a moment after the request came. Final
+   * states are never removed, so that of a job that had ended by then is found now.
+   */
+  private async lookUpEnd(uid: string, until: number): Promise<Known> {
     const end = this.state.ends.get(uid);
     if (end) return { end };
-    // Not among the live jobs as of a moment after the request came. Final states are never removed, so
-    // a job that had ended by then is found now.
     try {
       const got = await within(
         this.clock,
@@ -207,9 +248,7 @@
     }
     const { job } = known;
     const running = placedCount(job);
-    const phase = job.cancelled
-      ? 'cancelled'
-      : (finalState(job) ?? (running > 0 ? 'running' : 'pending'));
+    const phase = job.cancelled ? 'cancelled' : running > 0 ? 'running' : 'pending';
     return { status: 200, body: { uid, phase, done: doneCount(job), running } };
   }
 
@@ -228,6 +267,10 @@
   }
 }
 
+function cancelled(uid: string): Reply {
+  return { status: 200, body: { uid, phase: 'cancelled' } };
+}
+
 function later(why = 'the state service cannot be asked'): Reply {
   return { status: 503, body: { error: why }, retryAfterS: 1 };
 }
--- a/src/store/transaction-builder.ts
+++ b/src/store/transaction-builder.ts
@@ -1,9 +1,16 @@
 import type { Body } from '../wire/codec.js';
 import { bytesOf } from './bytes.js';
 import type { Change, Guard, Txn } from './client.js';
-import { keys, storeJob, type JobRecord, type RunRecord } from './records.js';
+import {
+  asBody,
+  keys,
+  storeJob,
+  type EndRecord,
+  type JobRecord,
+  type RunRecord,
+} from './records.js';
 import type { State } from './state.js';
-import { without } from '../jobs/life.js';
+import { finalState, without } from '../jobs/life.js';
 
 export interface TransactionLimits {
   txnOps: number;
@@ -21,8 +28,9 @@
  */
 const PARTS_PER_OP = 2.5;
 
-interface Put {
-  value: Body;
+/** What a transaction does to a key: a value, or null to delete it. */
+interface Write {
+  value: Body | null;
   bytes: number;
 }
 
@@ -32,7 +40,7 @@
  */
 export class TransactionBuilder {
   private readonly guards = new Map<string, number>();
-  private readonly puts = new Map<string, Put>();
+  private readonly writes = new Map<string, Write>();
   private readonly jobs = new Map<string, JobRecord>();
   private bytes = 0;
   /** Machines whose tasks this changes. */
@@ -49,7 +57,7 @@
   }
 
   get size(): number {
-    return this.puts.size;
+    return this.writes.size;
   }
 
   guard(guard: Guard): void {
@@ -60,7 +68,7 @@
   set(uid: string, next: JobRecord): boolean {
     const before = this.job(uid);
     if (!before) return false;
-    const changed = new Map<string, Body>();
+    const changed = new Map<string, Body | null>();
     if (!sameStored(before, next)) changed.set(keys.job(uid), storeJob(next));
     if (!this.moveRuns(uid, before, next, changed) || !this.accept(changed)) return false;
     this.jobs.set(uid, next);
@@ -69,22 +77,45 @@
     return true;
   }
 
-  private accept(changed: Map<string, Body>): boolean {
-    const puts = new Map<string, Put>();
+  /**
+   * Makes a job's final state part of this transaction, if nothing of the job is left by then; false if it
+   * is not over or does not fit. Deleting the job's record, which every cancellation and placement changes
+   * too, it excludes all of them; until it is committed, nobody may be told that the job is done.
+   */
+  finish(uid: string): boolean {
+    const job = this.job(uid);
+    const phase = job ? finalState(job) : null;
+    if (!job || phase === null) return false;
+    const end: EndRecord = { ph: phase, tasks: job.s.tasks };
+    return this.accept(
+      new Map<string, Body | null>([
+        [keys.job(uid), null],
+        [keys.end(uid), asBody(end)],
+      ]),
+    );
+  }
+
+  /** The same for every job that this transaction changes, as many as fit. */
+  finishAll(): void {
+    for (const uid of this.jobs.keys()) this.finish(uid);
+  }
+
+  private accept(changed: ReadonlyMap<string, Body | null>): boolean {
+    const writes = new Map<string, Write>();
     let bytes = this.bytes;
-    let count = this.puts.size;
+    let count = this.writes.size;
     for (const [key, value] of changed) {
-      const size = bytesOf(value);
+      const size = value ? bytesOf(value) : 0;
       // A value over its limit may still get smaller; only what grows it is turned away.
       if (size > this.limits.valueBytes * FILL && size > this.sizeOf(key)) return false;
-      bytes += size - (this.puts.get(key)?.bytes ?? 0);
-      if (!this.puts.has(key)) count++;
-      puts.set(key, { value, bytes: size });
+      bytes += size - (this.writes.get(key)?.bytes ?? 0);
+      if (!this.writes.has(key)) count++;
+      writes.set(key, { value, bytes: size });
     }
     if (count > this.limits.txnOps || bytes > this.limits.bytes) return false;
-    for (const [key, put] of puts) {
-      if (!this.guards.has(key)) this.guards.set(key, this.state.stampOf(key));
-      this.puts.set(key, put);
+    for (const [key, write] of writes) {
+      if (!this.guards.has(key)) this.guard({ key, stamp: this.state.stampOf(key) });
+      this.writes.set(key, write);
     }
     this.bytes = bytes;
     return true;
@@ -96,7 +127,7 @@
       for (const [box, pairs] of Object.entries(runs)) {
         if (!mine(box)) continue;
         // A step of its own: what has been accepted is never changed any more.
-        const changed = new Map<string, Body>();
+        const changed = new Map<string, Body | null>();
         if (!this.add(uid, [[box, pairs]], changed)) return false;
         setPairs(this.edit(key, changed), uid, box, []);
         if (!this.accept(changed)) return false;
@@ -105,23 +136,25 @@
   }
 
   txn(): Txn {
-    const apply: Change[] = [...this.puts].map(([put, { value }]) => ({ put, value }));
+    const apply = [...this.writes].map(([key, { value }]): Change =>
+      value ? { put: key, value } : { delete: key },
+    );
     return { guards: [...this.guards].map(([key, stamp]) => ({ key, stamp })), apply };
   }
 
-  private run(key: string, changed: Map<string, Body>): RunRecord {
-    return (changed.get(key) ?? this.puts.get(key)?.value ?? this.state.run(key)) as RunRecord;
+  private run(key: string, changed: Map<string, Body | null>): RunRecord {
+    return (changed.get(key) ?? this.writes.get(key)?.value ?? this.state.run(key)) as RunRecord;
   }
 
   /** A part as this step goes on to change it: a copy of what it holds so far. */
-  private edit(key: string, changed: Map<string, Body>): RunRecord {
+  private edit(key: string, changed: Map<string, Body | null>): RunRecord {
     if (!changed.has(key)) changed.set(key, { ...this.run(key, changed) });
     return changed.get(key) as RunRecord;
   }
 
   private sizeOf(key: string): number {
-    const put = this.puts.get(key);
-    if (put) return put.bytes;
+    const write = this.writes.get(key);
+    if (write) return write.bytes;
     const stored = this.state.replica.get(key)?.value;
     return stored ? bytesOf(stored) : 0;
   }
@@ -131,7 +164,7 @@
     uid: string,
     before: JobRecord,
     next: JobRecord,
-    changed: Map<string, Body>,
+    changed: Map<string, Body | null>,
   ): boolean {
     const boxes = new Set([...Object.keys(before.r), ...Object.keys(next.r)]);
     const added: [string, number[]][] = [];
@@ -153,10 +186,10 @@
     uid: string,
     box: string,
     kept: ReadonlySet<string>,
-    changed: Map<string, Body>,
+    changed: Map<string, Body | null>,
   ): void {
     const parts = new Set(this.state.partsOf(uid).keys());
-    for (const key of [...this.puts.keys(), ...changed.keys()])
+    for (const key of [...this.writes.keys(), ...changed.keys()])
       if (key.startsWith(keys.run(this.host, 0).slice(0, -1))) parts.add(key);
     for (const key of parts) {
       const record = this.run(key, changed);
@@ -172,7 +205,11 @@
    * may be added follows from what all own parts hold, so all of them are guarded: an own commit that this
    * process does not know of, of an earlier incarnation or without an answer, makes this one fail.
    */
-  private add(uid: string, added: [string, number[]][], changed: Map<string, Body>): boolean {
+  private add(
+    uid: string,
+    added: [string, number[]][],
+    changed: Map<string, Body | null>,
+  ): boolean {
     const most = Math.floor(this.limits.txnOps * PARTS_PER_OP);
     const own = this.state.partKeys(this.host);
     for (const key of own) this.guard({ key, stamp: this.state.stampOf(key) });
@@ -196,7 +233,7 @@
   }
 
   /** Bytes of a part as it is so far; one that this step has changed already is counted anew. */
-  private filled(key: string, changed: Map<string, Body>): number {
+  private filled(key: string, changed: Map<string, Body | null>): number {
     const edited = changed.get(key);
     return edited ? Buffer.byteLength(JSON.stringify(edited)) : bytesOf(this.run(key, changed));
   }
