Nothing is proposed for a moment while the replica is known to be behind

Cause: after a conflict whose catching-up failed, the loop went on from the same replica at once; what it proposed conflicted again, and failed transactions count as writes.

--- a/src/store/commit-loop.ts
+++ b/src/store/commit-loop.ts
@@ -102,10 +102,11 @@
       if (proposal.gains) await this.catchUp();
       this.state.replica.applied(proposal.txn.apply, outcome.generation);
     } else this.log.debug({ source: name, outcome }, 'commit not made');
-    if (outcome.kind === 'conflict') await this.catchUp();
+    const isBehind = outcome.kind === 'conflict' && !(await this.catchUp());
     proposal.settled?.(outcome);
     if (outcome.kind === 'refused') this.limiter.refused();
-    if (outcome.kind === 'refused') await sleep(this.clock, this.pauseMs);
+    // What is proposed while the replica is known to be behind fails again, and failures count as writes.
+    if (outcome.kind === 'refused' || isBehind) await sleep(this.clock, this.pauseMs);
   }
 
   private untilAwake(): Promise<void> {
