The domain manager is split: parts of limits, machines without an owner; no behaviour changed

Guards are made by the state that knows the stamps, not by each module again. New beside it: what breaks the limits' invariant in stored records is logged with its key.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -263,6 +263,7 @@
       if (this.dependencies.clock.now() - toldAt > this.settings.settings.workers.lease_s * 1000) {
         toldAt = this.dependencies.clock.now();
         this.dependencies.log.info(this.placer.summary(), 'own domain');
+        this.domainManager.quota.logViolations();
       }
       await sleep(this.dependencies.clock, (this.settings.settings.workers.report_s * 1000) / 4);
     }
--- a/src/domain/manager.ts
+++ b/src/domain/manager.ts
@@ -8,19 +8,18 @@
 import {
   asBody,
   keys,
-  lotBytes,
   storeHead,
-  type Amount,
   type Domain,
   type ListRecord,
-  type MachineBatchRecord,
   type ShardRecord,
 } from '../store/records.js';
 import type { State } from '../store/state.js';
 import { NoAnswer } from '../wire/client.js';
 import { compare, partitionForTakeover } from './dealing.js';
 import { layLists, reshard } from './shards.js';
-import { rebalanceQuota, takeFrom, type QuotaShortfall } from './shares.js';
+import { QuotaManager } from './quota-manager.js';
+import { takeFrom } from './shares.js';
+import { UnownedMachines } from './unowned-machines.js';
 
 export interface DomainManagerOptions {
   self: string;
@@ -37,18 +36,6 @@
   valueBytes: number;
 }
 
-/** A machine that reported and that no domain holds. */
-export interface UnownedMachine {
-  address: string;
-  flavor: string;
-  site: string;
-  reclaimable: boolean;
-  /** Highest term that its worker has seen. */
-  epoch: number;
-  /** Time of day at which it reported. */
-  at: number;
-}
-
 /** A domain below this share of the mean takes machines back. */
 const UNEVEN = 0.75;
 
@@ -60,13 +47,13 @@
   private inc: number | null = null;
   private listAt = -Infinity;
   private evenAt = -Infinity;
-  private dealtAt = -Infinity;
   private stopped = false;
-  private readonly wanted = new Map<string, UnownedMachine & { since: number }>();
   /** Since when a peer has been seen without a lease. */
   private readonly missing = new Map<string, number>();
-  /** What the own queues could use beyond the own part of the teams' limits. */
-  private readonly short = new Map<string, QuotaShortfall>();
+  /** The own parts of the teams' limits. */
+  readonly quota: QuotaManager;
+  /** First holders for machines that have none. */
+  readonly unowned: UnownedMachines;
   /** Handed its domain on because no worker could be reached; it holds none until one can. */
   private away = false;
   /** Own machines may have stays that other domains' parts record. */
@@ -84,7 +71,15 @@
     private readonly onHolding: () => void,
     /** No worker is heard or reached any more, although the store is: the fault is this node's own. */
     private readonly cutOff: () => boolean,
-  ) {}
+  ) {
+    this.quota = new QuotaManager(figures, teams, state, clock, log);
+    this.unowned = new UnownedMachines(figures, state, clock, log, wake, {
+      own: () => this.own(),
+      reshard: (host, set) => this.reshard(host, { set }),
+      guard: () => this.guard(),
+      holds: (txn) => this.holds(txn),
+    });
+  }
 
   /** Holds nothing of its own accord; it can still serve users. */
   get steppedDown(): boolean {
@@ -121,39 +116,7 @@
 
   /** The guard that every deciding commit carries: any loss of ownership changes this record, the head. */
   guard(): Guard {
-    return this.guardOn(keys.domain(this.figures.self));
-  }
-
-  /** What each team may still use on the own machines: the own part of its limit, less what may be on them. */
-  quotaLeft(): Map<string, Amount> {
-    const { quota } = this.own();
-    const used = this.state.usedOn(this.figures.self);
-    const left = new Map<string, Amount>();
-    for (const team of this.teams.keys()) {
-      const part = quota[team] ?? { cpus: 0, cards: 0 };
-      const on = used.get(team) ?? { cpus: 0, cards: 0 };
-      // Less than nothing undealt: the limit was lowered since the parts were dealt.
-      const undealt = this.undealt(team);
-      left.set(team, {
-        cpus: part.cpus - on.cpus + Math.min(0, undealt.cpus),
-        cards: part.cards - on.cards + Math.min(0, undealt.cards),
-      });
-    }
-    return left;
-  }
-
-  /** The own queues could use this much more of a team's limit. */
-  lack(team: string, lack: QuotaShortfall): void {
-    this.short.set(team, lack);
-  }
-
-  /** Asks for a machine that nobody owns; the claim follows with the others that come meanwhile. */
-  want(id: string, facts: UnownedMachine): void {
-    // A late copy of a report must not bring a machine back that was given back; names are not used again.
-    if (this.state.removed.has(id)) return;
-    const since = this.wanted.get(id)?.since ?? this.clock.now();
-    if (this.wanted.size < 1000) this.wanted.set(id, { ...facts, since });
-    this.clock.after(this.figures.gatherMs, this.wake);
+    return this.state.guard(keys.domain(this.figures.self));
   }
 
   async renewLoop(): Promise<void> {
@@ -190,13 +153,13 @@
       { name: 'register', propose: () => this.register() },
       this.held('step down', () => this.stepDown()),
       this.held('take over', () => this.takeOver()),
-      this.held('claim', () => this.claim()),
+      this.held('claim', () => this.unowned.propose()),
     ];
   }
 
   sources(): Source[] {
     return [
-      this.held('deal quota', () => this.dealQuota()),
+      this.held('deal quota', () => this.quota.propose()),
       this.held('adopt', () => this.adopt()),
       this.held('even out', () => this.even()),
       this.held('lists', () => this.rewriteList()),
@@ -221,13 +184,13 @@
     const before = this.own();
     const inc = before.inc + 1;
     const term = this.state.term + 1;
-    const guards = [this.guard(), this.guardOn(keys.term)];
+    const guards = [this.guard(), this.state.guard(keys.term)];
     const fresh = [...this.teams.keys()].filter((team) => !(team in before.quota));
     // A part of a limit is new only while the others' are known not to change.
     if (fresh.length > 0) guards.push(...this.peerGuards());
     const quota = {
       ...before.quota,
-      ...Object.fromEntries(fresh.map((team) => [team, this.firstPart(team)])),
+      ...Object.fromEntries(fresh.map((team) => [team, this.quota.firstPart(team)])),
     };
     return {
       gains: true,
@@ -262,7 +225,7 @@
     const live = keys.live(self);
     return {
       txn: {
-        guards: [this.guard(), this.guardOn(live), this.guardOn(keys.live(other))],
+        guards: [this.guard(), this.state.guard(live), this.state.guard(keys.live(other))],
         apply: [{ delete: live }],
       },
       settled: (outcome) => {
@@ -274,31 +237,10 @@
     };
   }
 
-  private undealt(team: string): Amount {
-    const limits = this.teams.get(team);
-    const left = { cpus: limits?.cpusMax ?? 0, cards: limits?.cardsMax ?? 0 };
-    for (const { quota } of this.state.domains.values()) {
-      left.cpus -= quota[team]?.cpus ?? 0;
-      left.cards -= quota[team]?.cards ?? 0;
-    }
-    return left;
-  }
-
-  private firstPart(team: string): Amount {
-    const limits = this.teams.get(team);
-    const undealt = this.undealt(team);
-    const part = (limit: number, left: number): number =>
-      Math.max(0, Math.min(limit / this.figures.size, left));
-    return {
-      cpus: part(limits?.cpusMax ?? 0, undealt.cpus),
-      cards: part(limits?.cardsMax ?? 0, undealt.cards),
-    };
-  }
-
   private peerGuards(): Guard[] {
     const hosts = new Set([...this.figures.peers, ...this.state.domains.keys()]);
     hosts.delete(this.figures.self);
-    return [...hosts].map((host) => this.guardOn(keys.domain(host)));
+    return [...hosts].map((host) => this.state.guard(keys.domain(host)));
   }
 
   /**
@@ -387,10 +329,10 @@
     return {
       guards: [
         this.guard(),
-        this.guardOn(keys.term),
-        this.guardOn(keys.domain(from)),
-        ...this.state.partKeys(from).map((key) => this.guardOn(key)),
-        ...this.guardsOn(shards),
+        this.state.guard(keys.term),
+        this.state.guard(keys.domain(from)),
+        ...this.state.partKeys(from).map((key) => this.state.guard(key)),
+        ...this.state.guardsOn(shards),
         ...(lent ? [] : [{ key: keys.live(from), stamp: 0 }]),
       ],
       apply: [
@@ -425,7 +367,7 @@
   change(change: { drop?: Iterable<string>; set?: ReadonlyMap<string, number> }): Txn {
     const apply = this.reshard(this.figures.self, change);
     const drops = change.drop ? this.dropGuards(change.drop) : [];
-    return { guards: [this.guard(), ...drops, ...this.guardsOn(apply)], apply };
+    return { guards: [this.guard(), ...drops, ...this.state.guardsOn(apply)], apply };
   }
 
   /**
@@ -433,154 +375,9 @@
    * own machines the own parts say so; one without an owner may have been claimed meanwhile.
    */
   private dropGuards(machines: Iterable<string>): Guard[] {
-    const parts = this.state.partKeys(this.figures.self).map((key) => this.guardOn(key));
+    const parts = this.state.partKeys(this.figures.self).map((key) => this.state.guard(key));
     const isUnowned = [...machines].some((machine) => !this.state.ownerOf(machine));
-    return isUnowned ? [...parts, this.guardOn(keys.newcomers)] : parts;
-  }
-
-  /** Machines that reported here and that no domain holds: found at the start, or rented by a late request. */
-  private claim(): Proposal | null {
-    for (const id of this.wanted.keys()) if (this.state.ownerOf(id)) this.wanted.delete(id);
-    const now = this.clock.now();
-    if (![...this.wanted.values()].some(({ since }) => now - since >= this.figures.gatherMs))
-      return null;
-    const own = this.own();
-    // Only what a worker has not been told yet can be its term.
-    const raised = [...this.wanted.values()].some(({ epoch }) => epoch >= own.term);
-    const term = raised ? this.state.term + 1 : own.term;
-    for (let count = this.wanted.size; ; count = Math.ceil(count / 2)) {
-      const claimed = [...this.wanted].slice(0, count);
-      const txn = this.claiming(claimed, term);
-      if (raised) {
-        txn.guards.push(this.guardOn(keys.term));
-        txn.apply.push({ put: keys.term, value: { t: term } });
-      }
-      // The rest follows with the next transaction.
-      if (count > 1 && !this.holds(txn)) continue;
-      const machines = claimed.map(([id]) => id);
-      return {
-        txn,
-        settled: (outcome) => {
-          if (outcome.kind !== 'done') return;
-          for (const id of machines) this.wanted.delete(id);
-          this.log.info({ machines, term }, 'machines claimed');
-        },
-      };
-    }
-  }
-
-  private claiming(claimed: [string, UnownedMachine][], term: number): Txn {
-    const { guards, apply } = this.change({ set: new Map(claimed.map(([id]) => [id, term])) });
-    guards.push(this.guardOn(keys.newcomers));
-    apply.push(this.firstHeld());
-    for (const lot of this.lotsOf(claimed)) {
-      const first = Object.keys(lot.b)[0] ?? '';
-      // A lot of that name may be left from when its first machine was another one's. Written over, it
-      // would take the records of all its machines with it, and with them the proof of what runs there.
-      let name = first;
-      for (let n = 1; this.state.lots.has(name); n++) name = `${first}.${String(n)}`;
-      guards.push({ key: keys.lot(name), stamp: 0 });
-      apply.push({ put: keys.lot(name), value: asBody(lot) });
-    }
-    return { guards, apply };
-  }
-
-  /** Records for machines that have none, by kind. Each has room to mark all of its machines. */
-  private lotsOf(machines: [string, UnownedMachine][]): MachineBatchRecord[] {
-    const lots: MachineBatchRecord[] = [];
-    const open = new Map<string, MachineBatchRecord>();
-    const most = this.figures.valueBytes * FILL;
-    for (const [id, { flavor, site, reclaimable, address, at }] of machines) {
-      if (this.state.boxes.has(id)) continue;
-      const kind = `${flavor} ${site} ${String(reclaimable)}`;
-      const alone: MachineBatchRecord = {
-        f: flavor,
-        s: site,
-        r: reclaimable,
-        at,
-        b: { [id]: address },
-      };
-      const lot = open.get(kind);
-      if (lot && lotBytes(lot) + lotBytes(alone) < most) lot.b[id] = address;
-      else {
-        open.set(kind, alone);
-        lots.push(alone);
-      }
-    }
-    return lots;
-  }
-
-  /**
-   * Everybody who gives machines their first holder changes this record and guards it. So no two do it for
-   * the same machine, and nobody needs to guard the domains of all others, which change all the time.
-   */
-  private firstHeld(): Change {
-    return { put: keys.newcomers, value: { n: this.state.newcomers + 1 } };
-  }
-
-  /**
-   * Deals new machines among the live controllers, the smallest domains first, as part of a transaction
-   * that records them. Each comes under the term of its holder's incarnation, for nobody held it before.
-   * What more than `most` changes would take is left to who hears of it first.
-   */
-  dealNew(boxes: string[], most: number): Txn {
-    const dealt = new Map<string, Map<string, number>>();
-    const sizes = new Map<string, number>();
-    for (const [host, { m }] of this.state.domains)
-      if (this.state.live.has(host)) sizes.set(host, m.size);
-    for (const box of boxes) {
-      const [host] = [...sizes].sort((a, b) => a[1] - b[1] || compare(a[0], b[0]))[0] ?? [];
-      if (host === undefined || this.state.ownerOf(box)) continue;
-      const terms = dealt.get(host) ?? new Map<string, number>();
-      dealt.set(host, terms.set(box, this.state.domains.get(host)?.term ?? 0));
-      sizes.set(host, (sizes.get(host) ?? 0) + 1);
-    }
-    const apply = [this.firstHeld()];
-    for (const [host, set] of dealt) {
-      const changes = this.reshard(host, { set });
-      if (apply.length + changes.length <= most) apply.push(...changes);
-    }
-    return { guards: this.guardsOn(apply), apply };
-  }
-
-  /** Takes over unused parts of a team's limit from peers that do not need them. */
-  private dealQuota(): Proposal | null {
-    const now = this.clock.now();
-    if (this.short.size === 0 || now - this.dealtAt < this.figures.gatherMs) return null;
-    this.dealtAt = now;
-    const own = this.own();
-    const parts = new Map(
-      [...this.state.domains]
-        .filter(([host]) => host !== this.figures.self)
-        .map(([host, { quota }]) => [host, { quota, used: this.state.usedOn(host) }]),
-    );
-    const mine = { quota: own.quota, used: this.state.usedOn(this.figures.self) };
-    // Every part of every peer that gives anything is guarded.
-    const { txnOps } = this.figures;
-    const most =
-      Math.max(0, ...[...parts.keys()].map((host) => this.state.partKeys(host).length)) + 1;
-    const peers = Math.min(txnOps - 1, Math.floor((4 * txnOps - 1) / most));
-    const dealt = rebalanceQuota(mine, this.short, parts, peers);
-    this.short.clear();
-    if (!dealt) return null;
-    const guards: Guard[] = [this.guard()];
-    const apply: Change[] = [
-      { put: keys.domain(this.figures.self), value: storeHead({ ...own, quota: dealt.own }) },
-    ];
-    for (const [host, quota] of dealt.others) {
-      const domain = this.state.domains.get(host);
-      if (!domain) continue;
-      // What is used there must be known exactly: whatever is placed there changes one of its parts.
-      for (const key of [keys.domain(host), ...this.state.partKeys(host)])
-        guards.push(this.guardOn(key));
-      apply.push({ put: keys.domain(host), value: storeHead({ ...domain, quota }) });
-    }
-    return {
-      txn: { guards, apply },
-      settled: (outcome) => {
-        if (outcome.kind === 'done') this.log.debug({ from: dealt.others.size }, 'quota dealt');
-      },
-    };
+    return isUnowned ? [...parts, this.state.guard(keys.newcomers)] : parts;
   }
 
   /** Moves what is recorded on own machines in other domains' parts into the own ones. */
@@ -647,19 +444,10 @@
     if (apply.length === 0) return null;
     apply.splice(txnOps);
     return {
-      txn: { guards: [this.guard(), ...this.guardsOn(apply)], apply },
+      txn: { guards: [this.guard(), ...this.state.guardsOn(apply)], apply },
       settled: (outcome) => {
         if (outcome.kind !== 'done') this.listAt = -Infinity;
       },
     };
   }
-
-  /** Each record that is written guarded by its own stamp. */
-  private guardsOn(changes: Change[]): Guard[] {
-    return changes.map((one) => this.guardOn('put' in one ? one.put : one.delete));
-  }
-
-  private guardOn(key: string): Guard {
-    return { key, stamp: this.state.stampOf(key) };
-  }
 }
--- /dev/null
+++ b/src/domain/quota-manager.ts
@@ -0,0 +1,157 @@
+/**
+ * The own domain's parts of the teams' limits. What is recorded on the domain's machines stays within them:
+ * docs/design.md, "Limits of teams", says why no order of commits can break that.
+ */
+import type { Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import type { TeamShare } from '../placement/plan.js';
+import type { Change, Guard } from '../store/client.js';
+import type { Proposal } from '../store/commit-loop.js';
+import { keys, storeHead, type Amount, type Domain } from '../store/records.js';
+import type { State } from '../store/state.js';
+import { rebalanceQuota, type QuotaShortfall } from './shares.js';
+
+export interface QuotaManagerOptions {
+  self: string;
+  /** Controllers that there are to be. */
+  size: number;
+  /** Parts are taken from peers at most this often. */
+  gatherMs: number;
+  txnOps: number;
+}
+
+const NONE: Amount = { cpus: 0, cards: 0 };
+/** Sums that are added to and taken from may be off by this. */
+const EPSILON = 1e-6;
+
+/** What is left of the own parts, and what is taken over from peers that do not need theirs. */
+export class QuotaManager {
+  private dealtAt = -Infinity;
+  /** What the own queues could use beyond the own parts. */
+  private readonly shortfalls = new Map<string, QuotaShortfall>();
+
+  constructor(
+    private readonly options: QuotaManagerOptions,
+    private readonly teams: ReadonlyMap<string, TeamShare>,
+    private readonly state: State,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** What each team may still use on the own machines: the own part of its limit, less what may be on them. */
+  left(): Map<string, Amount> {
+    const quota = this.own()?.quota ?? {};
+    const used = this.state.usedOn(this.options.self);
+    const left = new Map<string, Amount>();
+    for (const team of this.teams.keys()) {
+      const part = quota[team] ?? NONE;
+      const on = used.get(team) ?? NONE;
+      // Less than nothing undealt: the limit was lowered since the parts were dealt.
+      const undealt = this.undealt(team);
+      left.set(team, {
+        cpus: part.cpus - on.cpus + Math.min(0, undealt.cpus),
+        cards: part.cards - on.cards + Math.min(0, undealt.cards),
+      });
+    }
+    return left;
+  }
+
+  /** The own queues could use this much more of a team's limit. */
+  noteShortfall(team: string, shortfall: QuotaShortfall): void {
+    this.shortfalls.set(team, shortfall);
+  }
+
+  /** What a domain that is made gets of a team's limit. */
+  firstPart(team: string): Amount {
+    const limits = this.teams.get(team);
+    const undealt = this.undealt(team);
+    const part = (limit: number, left: number): number =>
+      Math.max(0, Math.min(limit / this.options.size, left));
+    return {
+      cpus: part(limits?.cpusMax ?? 0, undealt.cpus),
+      cards: part(limits?.cardsMax ?? 0, undealt.cards),
+    };
+  }
+
+  /** Takes over unused parts of a team's limit from peers that do not need them. */
+  propose(): Proposal | null {
+    const now = this.clock.now();
+    const { self, gatherMs } = this.options;
+    const own = this.own();
+    if (!own || this.shortfalls.size === 0 || now - this.dealtAt < gatherMs) return null;
+    this.dealtAt = now;
+    const parts = new Map(
+      [...this.state.domains]
+        .filter(([host]) => host !== self)
+        .map(([host, { quota }]) => [host, { quota, used: this.state.usedOn(host) }]),
+    );
+    const mine = { quota: own.quota, used: this.state.usedOn(self) };
+    const dealt = rebalanceQuota(mine, this.shortfalls, parts, this.mostGivers(parts.keys()));
+    this.shortfalls.clear();
+    if (!dealt) return null;
+    const guards: Guard[] = [this.state.guard(keys.domain(self))];
+    const apply: Change[] = [
+      { put: keys.domain(self), value: storeHead({ ...own, quota: dealt.own }) },
+    ];
+    for (const [host, quota] of dealt.others) {
+      const domain = this.state.domains.get(host);
+      if (!domain) continue;
+      // What is used there must be known exactly: whatever is placed there changes one of its parts.
+      for (const key of [keys.domain(host), ...this.state.partKeys(host)])
+        guards.push(this.state.guard(key));
+      apply.push({ put: keys.domain(host), value: storeHead({ ...domain, quota }) });
+    }
+    return {
+      txn: { guards, apply },
+      settled: (outcome) => {
+        if (outcome.kind === 'done') this.log.debug({ from: dealt.others.size }, 'quota dealt');
+      },
+    };
+  }
+
+  /**
+   * Logs what no order of commits leads to, but what an earlier version may have left behind: more recorded
+   * than the own part allows, or an allocation on a machine that no domain holds. For such a team nothing is
+   * placed here until enough of its tasks have ended; none is stopped for it.
+   */
+  logViolations(): void {
+    const { self } = this.options;
+    const quota = this.own()?.quota ?? {};
+    for (const [team, used] of this.state.usedOn(self)) {
+      const part = quota[team] ?? NONE;
+      if (used.cpus <= part.cpus + EPSILON && used.cards <= part.cards + EPSILON) continue;
+      this.log.error(
+        { key: keys.domain(self), team, part, used },
+        'team over its part of the limit',
+      );
+    }
+    for (const [machine, jobs] of this.state.onBox)
+      if (!this.state.ownerOf(machine))
+        this.log.error(
+          { machine, jobs: [...jobs] },
+          'tasks recorded on a machine without an owner',
+        );
+  }
+
+  private own(): Domain | undefined {
+    return this.state.domains.get(this.options.self);
+  }
+
+  private undealt(team: string): Amount {
+    const limits = this.teams.get(team);
+    const left = { cpus: limits?.cpusMax ?? 0, cards: limits?.cardsMax ?? 0 };
+    for (const { quota } of this.state.domains.values()) {
+      left.cpus -= quota[team]?.cpus ?? 0;
+      left.cards -= quota[team]?.cards ?? 0;
+    }
+    return left;
+  }
+
+  /** Every part of every peer that gives anything is guarded; so many peers a transaction can hold. */
+  private mostGivers(hosts: Iterable<string>): number {
+    const { txnOps } = this.options;
+    const parts = [...hosts].map((host) => this.state.partKeys(host).length);
+    const most = Math.max(0, ...parts) + 1;
+    return Math.min(txnOps - 1, Math.floor((4 * txnOps - 1) / most));
+  }
+}
--- /dev/null
+++ b/src/domain/unowned-machines.ts
@@ -0,0 +1,175 @@
+/** Gives machines that no domain holds their first holder. */
+import type { Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import type { Change, Guard, Txn } from '../store/client.js';
+import type { Proposal } from '../store/commit-loop.js';
+import { asBody, keys, lotBytes, type Domain, type MachineBatchRecord } from '../store/records.js';
+import type { State } from '../store/state.js';
+import { FILL } from '../store/transaction-builder.js';
+import { compare } from './dealing.js';
+
+/** A machine that reported and that no domain holds. */
+export interface UnownedMachine {
+  address: string;
+  flavor: string;
+  site: string;
+  reclaimable: boolean;
+  /** Highest term that its worker has seen. */
+  epoch: number;
+  /** Time of day at which it reported. */
+  at: number;
+}
+
+export interface UnownedMachinesOptions {
+  self: string;
+  /** Newcomers are claimed together when the first has waited this long. */
+  gatherMs: number;
+  valueBytes: number;
+}
+
+/** What is needed of the domain that this controller holds. */
+export interface DomainAccess {
+  own(): Domain;
+  /** The changes of a domain's shards by which machines come under a term. */
+  reshard(host: string, set: ReadonlyMap<string, number>): Change[];
+  /** The guard that every deciding commit carries. */
+  guard(): Guard;
+  /** Whether a transaction is within the limits of the state service. */
+  holds(txn: Txn): boolean;
+}
+
+/** Machines waiting to be claimed that one controller remembers. */
+const MOST_WANTED = 1000;
+
+/**
+ * Claims machines that report here and that nobody holds, and deals new ones among the live controllers.
+ * Nothing is recorded on a machine without an owner, so no part of a limit has to come with it.
+ */
+export class UnownedMachines {
+  private readonly wanted = new Map<string, UnownedMachine & { since: number }>();
+
+  constructor(
+    private readonly options: UnownedMachinesOptions,
+    private readonly state: State,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly wake: () => void,
+    private readonly domain: DomainAccess,
+  ) {}
+
+  /** Asks for a machine that nobody owns; the claim follows with the others that come meanwhile. */
+  want(id: string, facts: UnownedMachine): void {
+    // A late copy of a report must not bring a machine back that was given back; names are not used again.
+    if (this.state.removed.has(id)) return;
+    const since = this.wanted.get(id)?.since ?? this.clock.now();
+    if (this.wanted.size < MOST_WANTED) this.wanted.set(id, { ...facts, since });
+    this.clock.after(this.options.gatherMs, this.wake);
+  }
+
+  /** Machines that reported here and that no domain holds: found at the start, or rented by a late request. */
+  propose(): Proposal | null {
+    for (const id of this.wanted.keys()) if (this.state.ownerOf(id)) this.wanted.delete(id);
+    const now = this.clock.now();
+    if (![...this.wanted.values()].some(({ since }) => now - since >= this.options.gatherMs))
+      return null;
+    const own = this.domain.own();
+    // Only what a worker has not been told yet can be its term.
+    const raised = [...this.wanted.values()].some(({ epoch }) => epoch >= own.term);
+    const term = raised ? this.state.term + 1 : own.term;
+    for (let count = this.wanted.size; ; count = Math.ceil(count / 2)) {
+      const claimed = [...this.wanted].slice(0, count);
+      const txn = this.claiming(claimed, term);
+      if (raised) {
+        txn.guards.push(this.state.guard(keys.term));
+        txn.apply.push({ put: keys.term, value: { t: term } });
+      }
+      // The rest follows with the next transaction.
+      if (count > 1 && !this.domain.holds(txn)) continue;
+      const machines = claimed.map(([id]) => id);
+      return {
+        txn,
+        settled: (outcome) => {
+          if (outcome.kind !== 'done') return;
+          for (const id of machines) this.wanted.delete(id);
+          this.log.info({ machines, term }, 'machines claimed');
+        },
+      };
+    }
+  }
+
+  private claiming(claimed: [string, UnownedMachine][], term: number): Txn {
+    const set = new Map(claimed.map(([id]) => [id, term]));
+    const apply = this.domain.reshard(this.options.self, set);
+    const guards = [this.domain.guard(), ...this.state.guardsOn(apply)];
+    guards.push(this.state.guard(keys.newcomers));
+    apply.push(this.firstHeld());
+    for (const lot of this.lotsOf(claimed)) {
+      const first = Object.keys(lot.b)[0] ?? '';
+      // A lot of that name may be left from when its first machine was another one's. Written over, it
+      // would take the records of all its machines with it, and with them the proof of what runs there.
+      let name = first;
+      for (let n = 1; this.state.lots.has(name); n++) name = `${first}.${String(n)}`;
+      guards.push({ key: keys.lot(name), stamp: 0 });
+      apply.push({ put: keys.lot(name), value: asBody(lot) });
+    }
+    return { guards, apply };
+  }
+
+  /** Records for machines that have none, by kind. Each has room to mark all of its machines. */
+  private lotsOf(machines: [string, UnownedMachine][]): MachineBatchRecord[] {
+    const lots: MachineBatchRecord[] = [];
+    const open = new Map<string, MachineBatchRecord>();
+    const most = this.options.valueBytes * FILL;
+    for (const [id, { flavor, site, reclaimable, address, at }] of machines) {
+      if (this.state.boxes.has(id)) continue;
+      const kind = `${flavor} ${site} ${String(reclaimable)}`;
+      const alone: MachineBatchRecord = {
+        f: flavor,
+        s: site,
+        r: reclaimable,
+        at,
+        b: { [id]: address },
+      };
+      const lot = open.get(kind);
+      if (lot && lotBytes(lot) + lotBytes(alone) < most) lot.b[id] = address;
+      else {
+        open.set(kind, alone);
+        lots.push(alone);
+      }
+    }
+    return lots;
+  }
+
+  /**
+   * Everybody who gives machines their first holder changes this record and guards it. So no two do it for
+   * the same machine, and nobody needs to guard the domains of all others, which change all the time.
+   */
+  private firstHeld(): Change {
+    return { put: keys.newcomers, value: { n: this.state.newcomers + 1 } };
+  }
+
+  /**
+   * Deals new machines among the live controllers, the smallest domains first, as part of a transaction
+   * that records them. Each comes under the term of its holder's incarnation, for nobody held it before.
+   * What more than `most` changes would take is left to who hears of it first.
+   */
+  dealNew(boxes: string[], most: number): Txn {
+    const dealt = new Map<string, Map<string, number>>();
+    const sizes = new Map<string, number>();
+    for (const [host, { m }] of this.state.domains)
+      if (this.state.live.has(host)) sizes.set(host, m.size);
+    for (const box of boxes) {
+      const [host] = [...sizes].sort((a, b) => a[1] - b[1] || compare(a[0], b[0]))[0] ?? [];
+      if (host === undefined || this.state.ownerOf(box)) continue;
+      const terms = dealt.get(host) ?? new Map<string, number>();
+      dealt.set(host, terms.set(box, this.state.domains.get(host)?.term ?? 0));
+      sizes.set(host, (sizes.get(host) ?? 0) + 1);
+    }
+    const apply = [this.firstHeld()];
+    for (const [host, set] of dealt) {
+      const changes = this.domain.reshard(host, set);
+      if (apply.length + changes.length <= most) apply.push(...changes);
+    }
+    return { guards: this.state.guardsOn(apply), apply };
+  }
+}
--- a/src/fleet/provisioner.ts
+++ b/src/fleet/provisioner.ts
@@ -147,7 +147,7 @@
     };
     return {
       txn: {
-        guards: [this.domainManager.guard(), this.guardOn(keys.fleet)],
+        guards: [this.domainManager.guard(), this.state.guard(keys.fleet)],
         apply: [{ put: keys.fleet, value: asBody(next) }],
       },
       settled: (outcome) => {
@@ -199,7 +199,7 @@
     const next: FleetRecord = { ...fleet, seq: fleet.seq + claims.length, claims };
     return {
       txn: {
-        guards: [this.domainManager.guard(), this.guardOn(keys.fleet)],
+        guards: [this.domainManager.guard(), this.state.guard(keys.fleet)],
         apply: [{ put: keys.fleet, value: asBody(next) }],
       },
       settled: (outcome) => {
@@ -274,10 +274,10 @@
       ...fleet,
       claims: fleet.claims.filter((one) => !taken.includes(one)),
     };
-    const dealt = this.domainManager.dealNew(boxes, txnOps - lots.length - 1);
+    const dealt = this.domainManager.unowned.dealNew(boxes, txnOps - lots.length - 1);
     const guards: Guard[] = [
       this.domainManager.guard(),
-      this.guardOn(keys.fleet),
+      this.state.guard(keys.fleet),
       ...dealt.guards,
       ...lots.map((lot) => ({ key: 'put' in lot ? lot.put : '', stamp: 0 })),
     ];
@@ -429,7 +429,7 @@
       const lot = lots.get(name) ?? this.state.lots.get(name);
       if (!box || !lot || box.going !== undefined) continue;
       if (why === 'idle' && this.state.onBox.has(id)) continue;
-      if (!lots.has(name)) guards.push(this.guardOn(keys.lot(name)));
+      if (!lots.has(name)) guards.push(this.state.guard(keys.lot(name)));
       lots.set(name, { ...lot, g: { ...lot.g, [id]: why } });
       marked.push({ id, why });
     }
@@ -500,7 +500,7 @@
     const { guards, apply } = this.domainManager.change({ drop });
     for (const [name, lot] of lots) {
       const key = keys.lot(name);
-      guards.push(this.guardOn(key));
+      guards.push(this.state.guard(key));
       if (Object.keys(lot.b).length === 0) apply.push({ delete: key });
       else apply.push({ put: key, value: asBody(lot) });
     }
@@ -515,8 +515,4 @@
       this.log.info({ err: error.message }, `cloud: no answer: ${what}`);
     }
   }
-
-  private guardOn(key: string): Guard {
-    return { key, stamp: this.state.stampOf(key) };
-  }
 }
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -302,7 +302,7 @@
     if (places.length === 0 || jobs.length === 0)
       return due ? this.commit(transaction, ended, 0) : null;
     const snapshot = this.snapshot(places, jobs);
-    snapshot.quota = this.domainManager.quotaLeft();
+    snapshot.quota = this.domainManager.quota.left();
     const placements = plan(snapshot);
     let tasks = 0;
     for (const { uid, boxes } of placements) tasks += this.addPlacement(transaction, uid, boxes);
@@ -315,7 +315,8 @@
       return job ? [{ uid, job }] : [];
     });
     this.addStops(transaction, snapshot, rest);
-    for (const [team, lack] of snapshot.short ?? []) this.domainManager.lack(team, lack);
+    for (const [team, lack] of snapshot.short ?? [])
+      this.domainManager.quota.noteShortfall(team, lack);
     if (snapshot.short) this.clock.after(this.figures.spreadMs, this.wake);
     // Small work that arrives all the time must not keep a gang from its machines.
     const borrowed = this.borrow(jobs, placements, patient);
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -1,4 +1,5 @@
 import type { Body } from '../wire/codec.js';
+import type { Change, Guard } from './client.js';
 import {
   keyParts,
   keys,
@@ -160,6 +161,16 @@
     return this.replica.stampOf(key);
   }
 
+  /** The guard under which a record is still as this replica has it; absent ones included. */
+  guard(key: string): Guard {
+    return { key, stamp: this.stampOf(key) };
+  }
+
+  /** Each record that is written, guarded by its own stamp. */
+  guardsOn(changes: Change[]): Guard[] {
+    return changes.map((one) => this.guard('put' in one ? one.put : one.delete));
+  }
+
   used(team: string): Amount {
     return this.usage.get(team) ?? { cpus: 0, cards: 0 };
   }
--- a/src/workers/manager.ts
+++ b/src/workers/manager.ts
@@ -126,7 +126,7 @@
     let owner = this.state.ownerOf(report.box);
     if (!owner) {
       const { box, address, flavor, site, reclaimable, epoch } = report;
-      this.domainManager.want(box, {
+      this.domainManager.unowned.want(box, {
         address,
         flavor,
         site,
