--- /dev/null
+++ b/test/ended-tasks.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { systemClock } from '../src/clock.js';
+import { newJob, place, type Allocation } from '../src/jobs/life.js';
+import { keys, storeJob } from '../src/store/records.js';
+import { State } from '../src/store/state.js';
+import { TransactionBuilder } from '../src/store/transaction-builder.js';
+import { EndedTasks } from '../src/workers/ended-tasks.js';
+import { JOB } from './stand/world.js';
+
+const HOST = 'a';
+const LIMITS = { txnOps: 12, valueBytes: 4096, bytes: 40_000 };
+const UID = 'j-1';
+const MACHINES = ['i-1', 'i-2', 'i-3'];
+
+/** A job with a task on each of the machines. */
+function placed(): State {
+  const state = new State(() => undefined);
+  const job = newJob({ ...JOB, tasks: MACHINES.length }, 0);
+  state.replica.applied([{ put: keys.job(UID), value: storeJob(job) }], 1);
+  const builder = new TransactionBuilder(state, HOST, LIMITS);
+  builder.set(UID, place(job, MACHINES));
+  state.replica.applied(builder.txn().apply, 2);
+  return state;
+}
+
+const allocation = (task: number): Allocation => ({
+  box: MACHINES[task] ?? '',
+  task,
+  attempt: 1,
+});
+
+// A lease that runs out is found once: what is forgotten by mistake would wait for its machine's deletion.
+void test('ended tasks: an end found while others of its job are being committed is not forgotten with them', () => {
+  const state = placed();
+  const options = { gatherMs: 1e6, pauseMs: 1000 };
+  const ended = new EndedTasks(
+    options,
+    state,
+    systemClock,
+    () => 7,
+    () => undefined,
+  );
+  ended.add(UID, allocation(0), 'done');
+  const first = new TransactionBuilder(state, HOST, LIMITS);
+  const recorded = ended.addTo(first);
+  ended.add(UID, allocation(1), 'back');
+  state.replica.applied(first.txn().apply, 3);
+  assert.deepEqual([...recorded()], ['i-1']);
+  assert.ok(ended.has(UID, allocation(1)));
+  assert.ok(!ended.has(UID, allocation(0)));
+
+  const second = new TransactionBuilder(state, HOST, LIMITS);
+  const recordedThen = ended.addTo(second);
+  state.replica.applied(second.txn().apply, 4);
+  assert.deepEqual([...recordedThen()], ['i-2']);
+  assert.deepEqual(state.jobs.get(UID)?.b, [1]);
+  assert.deepEqual(Object.keys(state.jobs.get(UID)?.r ?? {}), ['i-3']);
+});
