Only the ends that a transaction recorded are forgotten once it is committed

Cause: a committed end took all gathered ends of its job with it, those found while it was being committed too. A lease that runs out is found once, so such a task waited until its machine was deleted, some four leases later. Change: just the ends in the transaction are forgotten.

--- a/src/workers/ended-tasks.ts
+++ b/src/workers/ended-tasks.ts
@@ -65,7 +65,7 @@
    * tasks it ended.
    */
   addTo(transaction: TransactionBuilder): () => Set<string> {
-    const taken: string[] = [];
+    const taken = new Map<string, readonly EndedTask[]>();
     for (const [uid, list] of this.byJob) {
       const job = transaction.job(uid);
       const valid = job ? list.filter((ended) => this.stillValid(ended, job)) : [];
@@ -74,7 +74,7 @@
         continue;
       }
       const next = conclude(job, valid, this.clock.wall(), this.options.pauseMs);
-      if (transaction.set(uid, next)) taken.push(uid);
+      if (transaction.set(uid, next)) taken.set(uid, valid);
     }
     if (this.byJob.size === 0) this.since = Infinity;
     return () => this.forget(taken);
@@ -91,11 +91,14 @@
     );
   }
 
-  private forget(uids: string[]): Set<string> {
+  /** Only what was recorded: ends of the same jobs may have been found since the transaction was made. */
+  private forget(taken: ReadonlyMap<string, readonly EndedTask[]>): Set<string> {
     const machines = new Set<string>();
-    for (const uid of uids) {
-      for (const { stay } of this.byJob.get(uid) ?? []) machines.add(stay.box);
-      this.byJob.delete(uid);
+    for (const [uid, recorded] of taken) {
+      for (const { stay } of recorded) machines.add(stay.box);
+      const left = (this.byJob.get(uid) ?? []).filter((ended) => !recorded.includes(ended));
+      if (left.length > 0) this.byJob.set(uid, left);
+      else this.byJob.delete(uid);
     }
     this.since = this.byJob.size > 0 ? this.clock.now() : Infinity;
     return machines;
