--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -12,7 +12,7 @@
 import { NoAnswer } from '../wire/client.js';
 import type { Body } from '../wire/codec.js';
 import type { Reply } from '../wire/server.js';
-import { doneCount, finalState, newJob, placedCount } from './life.js';
+import { doneCount, endOf, finalState, newJob, placedCount } from './life.js';
 import { neverRuns, parseSubmission, validUid } from './submission.js';
 
 export interface JobApiOptions {
@@ -148,9 +148,8 @@
   /** The transaction that replaces the record of a job that is over by its final state. */
   private ending(uid: string): Txn | null {
     const job = this.state.jobs.get(uid);
-    const ph = job ? finalState(job) : null;
-    if (!job || ph === null) return null;
-    const end: EndRecord = { ph, tasks: job.s.tasks };
+    const end = job ? endOf(job) : null;
+    if (!end) return null;
     return {
       guards: [
         { key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) },
--- a/src/jobs/life.ts
+++ b/src/jobs/life.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, JobSpec } from '../store/records.js';
+import type { EndRecord, JobRecord, JobSpec } from '../store/records.js';
 
 /** A task's stay on a machine. */
 export interface Allocation {
@@ -59,6 +59,12 @@
   return doneCount(job) === job.s.tasks ? 'done' : null;
 }
 
+/** What replaces the record of a job that is over; null while it is not. */
+export function endOf(job: JobRecord): EndRecord | null {
+  const phase = finalState(job);
+  return phase === null ? null : { ph: phase, tasks: job.s.tasks };
+}
+
 /** Whether a task of this job that is on a machine is meant to go on. */
 export function wantsRunning(job: JobRecord, task: number): boolean {
   return !job.cancelled && !job.gangDone && !job.gangBroken && !job.stop?.includes(task);
--- a/src/store/transaction-builder.ts
+++ b/src/store/transaction-builder.ts
@@ -1,16 +1,9 @@
 import type { Body } from '../wire/codec.js';
 import { bytesOf } from './bytes.js';
 import type { Change, Guard, Txn } from './client.js';
-import {
-  asBody,
-  keys,
-  storeJob,
-  type EndRecord,
-  type JobRecord,
-  type RunRecord,
-} from './records.js';
+import { asBody, keys, storeJob, type JobRecord, type RunRecord } from './records.js';
 import type { State } from './state.js';
-import { finalState, without } from '../jobs/life.js';
+import { endOf, without } from '../jobs/life.js';
 
 export interface TransactionLimits {
   txnOps: number;
@@ -84,9 +77,8 @@
    */
   finish(uid: string): boolean {
     const job = this.job(uid);
-    const phase = job ? finalState(job) : null;
-    if (!job || phase === null) return false;
-    const end: EndRecord = { ph: phase, tasks: job.s.tasks };
+    const end = job ? endOf(job) : null;
+    if (!end) return false;
     return this.accept(
       new Map<string, Body | null>([
         [keys.job(uid), null],
