--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -332,7 +332,6 @@
     tasks: number,
   ): Proposal | null {
     if (transaction.size === 0) return null;
-    transaction.finishAll();
     return {
       txn: transaction.txn(),
       settled: (outcome) => {
--- a/src/store/transaction-builder.ts
+++ b/src/store/transaction-builder.ts
@@ -1,9 +1,9 @@
 import type { Body } from '../wire/codec.js';
 import { bytesOf } from './bytes.js';
 import type { Change, Guard, Txn } from './client.js';
-import { asBody, keys, storeJob, type JobRecord, type RunRecord } from './records.js';
+import { keys, storeJob, type JobRecord, type RunRecord } from './records.js';
 import type { State } from './state.js';
-import { endOf, without } from '../jobs/life.js';
+import { without } from '../jobs/life.js';
 
 export interface TransactionLimits {
   txnOps: number;
@@ -21,9 +21,8 @@
  */
 const PARTS_PER_OP = 2.5;
 
-/** What a transaction does to a key: a value, or null to delete it. */
-interface Write {
-  value: Body | null;
+interface Put {
+  value: Body;
   bytes: number;
 }
 
@@ -33,7 +32,7 @@
  */
 export class TransactionBuilder {
   private readonly guards = new Map<string, number>();
-  private readonly writes = new Map<string, Write>();
+  private readonly puts = new Map<string, Put>();
   private readonly jobs = new Map<string, JobRecord>();
   private bytes = 0;
   /** Machines whose tasks this changes. */
@@ -50,7 +49,7 @@
   }
 
   get size(): number {
-    return this.writes.size;
+    return this.puts.size;
   }
 
   guard(guard: Guard): void {
@@ -61,7 +60,7 @@
   set(uid: string, next: JobRecord): boolean {
     const before = this.job(uid);
     if (!before) return false;
-    const changed = new Map<string, Body | null>();
+    const changed = new Map<string, Body>();
     if (!sameStored(before, next)) changed.set(keys.job(uid), storeJob(next));
     if (!this.moveRuns(uid, before, next, changed) || !this.accept(changed)) return false;
     this.jobs.set(uid, next);
@@ -70,44 +69,22 @@
     return true;
   }
 
-  /**
-   * Makes a job's final state part of this transaction, if nothing of the job is left by then; false if it
-   * is not over or does not fit. Deleting the job's record, which every cancellation and placement changes
-   * too, it excludes all of them; until it is committed, nobody may be told that the job is done.
-   */
-  finish(uid: string): boolean {
-    const job = this.job(uid);
-    const end = job ? endOf(job) : null;
-    if (!end) return false;
-    return this.accept(
-      new Map<string, Body | null>([
-        [keys.job(uid), null],
-        [keys.end(uid), asBody(end)],
-      ]),
-    );
-  }
-
-  /** The same for every job that this transaction changes, as many as fit. */
-  finishAll(): void {
-    for (const uid of this.jobs.keys()) this.finish(uid);
-  }
-
-  private accept(changed: ReadonlyMap<string, Body | null>): boolean {
-    const writes = new Map<string, Write>();
+  private accept(changed: Map<string, Body>): boolean {
+    const puts = new Map<string, Put>();
     let bytes = this.bytes;
-    let count = this.writes.size;
+    let count = this.puts.size;
     for (const [key, value] of changed) {
-      const size = value ? bytesOf(value) : 0;
+      const size = bytesOf(value);
       // A value over its limit may still get smaller; only what grows it is turned away.
       if (size > this.limits.valueBytes * FILL && size > this.sizeOf(key)) return false;
-      bytes += size - (this.writes.get(key)?.bytes ?? 0);
-      if (!this.writes.has(key)) count++;
-      writes.set(key, { value, bytes: size });
+      bytes += size - (this.puts.get(key)?.bytes ?? 0);
+      if (!this.puts.has(key)) count++;
+      puts.set(key, { value, bytes: size });
     }
     if (count > this.limits.txnOps || bytes > this.limits.bytes) return false;
-    for (const [key, write] of writes) {
-      if (!this.guards.has(key)) this.guard({ key, stamp: this.state.stampOf(key) });
-      this.writes.set(key, write);
+    for (const [key, put] of puts) {
+      if (!this.guards.has(key)) this.guards.set(key, this.state.stampOf(key));
+      this.puts.set(key, put);
     }
     this.bytes = bytes;
     return true;
@@ -119,7 +96,7 @@
       for (const [box, pairs] of Object.entries(runs)) {
         if (!mine(box)) continue;
         // A step of its own: what has been accepted is never changed any more.
-        const changed = new Map<string, Body | null>();
+        const changed = new Map<string, Body>();
         if (!this.add(uid, [[box, pairs]], changed)) return false;
         setPairs(this.edit(key, changed), uid, box, []);
         if (!this.accept(changed)) return false;
@@ -128,25 +105,23 @@
   }
 
   txn(): Txn {
-    const apply = [...this.writes].map(([key, { value }]): Change =>
-      value ? { put: key, value } : { delete: key },
-    );
+    const apply: Change[] = [...this.puts].map(([put, { value }]) => ({ put, value }));
     return { guards: [...this.guards].map(([key, stamp]) => ({ key, stamp })), apply };
   }
 
-  private run(key: string, changed: Map<string, Body | null>): RunRecord {
-    return (changed.get(key) ?? this.writes.get(key)?.value ?? this.state.run(key)) as RunRecord;
+  private run(key: string, changed: Map<string, Body>): RunRecord {
+    return (changed.get(key) ?? this.puts.get(key)?.value ?? this.state.run(key)) as RunRecord;
   }
 
   /** A part as this step goes on to change it: a copy of what it holds so far. */
-  private edit(key: string, changed: Map<string, Body | null>): RunRecord {
+  private edit(key: string, changed: Map<string, Body>): RunRecord {
     if (!changed.has(key)) changed.set(key, { ...this.run(key, changed) });
     return changed.get(key) as RunRecord;
   }
 
   private sizeOf(key: string): number {
-    const write = this.writes.get(key);
-    if (write) return write.bytes;
+    const put = this.puts.get(key);
+    if (put) return put.bytes;
     const stored = this.state.replica.get(key)?.value;
     return stored ? bytesOf(stored) : 0;
   }
@@ -156,7 +131,7 @@
     uid: string,
     before: JobRecord,
     next: JobRecord,
-    changed: Map<string, Body | null>,
+    changed: Map<string, Body>,
   ): boolean {
     const boxes = new Set([...Object.keys(before.r), ...Object.keys(next.r)]);
     const added: [string, number[]][] = [];
@@ -178,10 +153,10 @@
     uid: string,
     box: string,
     kept: ReadonlySet<string>,
-    changed: Map<string, Body | null>,
+    changed: Map<string, Body>,
   ): void {
     const parts = new Set(this.state.partsOf(uid).keys());
-    for (const key of [...this.writes.keys(), ...changed.keys()])
+    for (const key of [...this.puts.keys(), ...changed.keys()])
       if (key.startsWith(keys.run(this.host, 0).slice(0, -1))) parts.add(key);
     for (const key of parts) {
       const record = this.run(key, changed);
@@ -197,11 +172,7 @@
    * may be added follows from what all own parts hold, so all of them are guarded: an own commit that this
    * process does not know of, of an earlier incarnation or without an answer, makes this one fail.
    */
-  private add(
-    uid: string,
-    added: [string, number[]][],
-    changed: Map<string, Body | null>,
-  ): boolean {
+  private add(uid: string, added: [string, number[]][], changed: Map<string, Body>): boolean {
     const most = Math.floor(this.limits.txnOps * PARTS_PER_OP);
     const own = this.state.partKeys(this.host);
     for (const key of own) this.guard({ key, stamp: this.state.stampOf(key) });
@@ -225,7 +196,7 @@
   }
 
   /** Bytes of a part as it is so far; one that this step has changed already is counted anew. */
-  private filled(key: string, changed: Map<string, Body | null>): number {
+  private filled(key: string, changed: Map<string, Body>): number {
     const edited = changed.get(key);
     return edited ? Buffer.byteLength(JSON.stringify(edited)) : bytesOf(this.run(key, changed));
   }
