--- a/test/ended-tasks.test.ts
+++ b/test/ended-tasks.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { systemClock } from '../src/clock.js';
+import type { Clock } from '../src/clock.js';
 import { newJob, place, type Allocation } from '../src/jobs/life.js';
 import { keys, storeJob } from '../src/store/records.js';
 import { State } from '../src/store/state.js';
@@ -10,6 +10,8 @@
 
 const HOST = 'a';
 const LIMITS = { txnOps: 12, valueBytes: 4096, bytes: 40_000 };
+/** Time stands still: no timer of these tests is to fire. */
+const CLOCK: Clock = { now: () => 0, wall: () => 0, after: () => () => undefined };
 const UID = 'j-1';
 const MACHINES = ['i-1', 'i-2', 'i-3'];
 
@@ -37,7 +39,7 @@
   const ended = new EndedTasks(
     options,
     state,
-    systemClock,
+    CLOCK,
     () => 7,
     () => undefined,
   );
