--- /dev/null
+++ b/test/known-red.ts
@@ -0,0 +1,52 @@
+/**
+ * Runs the tests and passes over those that KNOWN-RED.txt lists, and over no others. A listed test that passes or
+ * does not exist fails the run, so the list cannot outlive what it names. Usage: known-red.js FILES...
+ */
+import { existsSync, readFileSync } from 'node:fs';
+import { run } from 'node:test';
+import { spec } from 'node:test/reporters';
+
+/** Lines of the list that a submission may have at most. */
+const MOST_LISTED = 3;
+/** Each line: test, cause, issue. */
+const SEPARATOR = ' | ';
+
+const listPath = new URL('../../../KNOWN-RED.txt', import.meta.url);
+const lines = existsSync(listPath)
+  ? readFileSync(listPath, 'utf8')
+      .split('\n')
+      .filter((line) => line.trim() !== '')
+  : [];
+const listed = new Set(lines.map((line) => line.split(SEPARATOR)[0] ?? ''));
+const passed = new Set<string>();
+const failed = new Set<string>();
+
+const stream = run({ files: process.argv.slice(2), concurrency: true });
+stream.on('test:pass', ({ name, details }) => {
+  if (details.type !== 'suite') passed.add(name);
+});
+stream.on('test:fail', ({ name }) => {
+  failed.add(name);
+});
+stream.compose(new spec()).pipe(process.stdout);
+stream.on('end', () => {
+  const unexpected = [...failed].filter((name) => !listed.has(name));
+  const stale = [...listed].filter((name) => !failed.has(name));
+  const faults = [
+    ...unexpected.map((name) => `failed: ${name}`),
+    ...stale.map((name) =>
+      passed.has(name)
+        ? `in KNOWN-RED.txt, but passes: ${name}`
+        : `in KNOWN-RED.txt, but does not exist: ${name}`,
+    ),
+    ...(listed.size > MOST_LISTED ? ['KNOWN-RED.txt: too many lines'] : []),
+    ...(passed.size === 0 ? ['no test passed'] : []),
+  ];
+  // After the reporter's own closing lines.
+  setImmediate(() => {
+    for (const line of lines) process.stdout.write(`known red: ${line}\n`);
+    for (const fault of faults) process.stdout.write(`${fault}\n`);
+    process.stdout.write(`${String(passed.size)} passed, ${String(failed.size)} failed\n`);
+    process.exitCode = faults.length > 0 ? 1 : 0;
+  });
+});
--- /dev/null
+++ b/test/stand/slow-readings.ts
@@ -0,0 +1,110 @@
+/**
+ * Days on which controllers restart one after the other while the state service is slow: full readings then take
+ * seconds, and machines move between small domains meanwhile, as teams are at their limits.
+ */
+import type { JobSpec } from '../../src/store/records.js';
+import type { Findings } from './fault-schedule.js';
+import { at } from './troubles.js';
+import { World, type Size } from './world.js';
+
+/** Six machines or so: one of a kind and zone, ordinary and spot. */
+const SIZE: Partial<Size> & Pick<Size, 'hosts'> = {
+  hosts: ['a', 'b', 'c'],
+  capacity: 1,
+  flavors: [
+    {
+      sku: 'small',
+      cpus: 4,
+      cards: 0,
+      memory_gb: 32,
+      rate: 1,
+      low_price: 0.3,
+      ready_s: 10,
+      sites: ['x', 'y'],
+    },
+    {
+      sku: 'large',
+      cpus: 8,
+      cards: 0,
+      memory_gb: 64,
+      rate: 2,
+      low_price: 0.6,
+      ready_s: 10,
+      sites: ['x', 'y'],
+    },
+  ],
+  teams: [
+    { name: 'red', cpus: 6, cpus_max: 12, gpus: 0, gpus_max: 0 },
+    { name: 'blue', cpus: 6, cpus_max: 12, gpus: 0, gpus_max: 0 },
+  ],
+  state: { rps: 120, write_rps: 25, value_kb: 8, txn_ops: 20 },
+};
+
+const SLOW_FROM_S = 30;
+const SLOW_UNTIL_S = 150;
+const END_S = 280;
+
+export interface SlowDay {
+  seed: number;
+  /** Controllers restart one after the other this often, while the state service is slow. */
+  rollEveryS: number;
+}
+
+export async function playSlowDay({ seed, rollEveryS }: SlowDay): Promise<Findings> {
+  const world = new World(seed, SIZE);
+  world.cloud.begin(4);
+  submitWork(world);
+  slowDown(world);
+  roll(world, rollEveryS);
+  world.checker.troublesOver = SLOW_UNTIL_S * 1000;
+  await world.time.runUntil(END_S * 1000);
+  world.checker.finish();
+  for (const host of world.hosts()) world.kill(host, 1e9);
+  return {
+    broken: [...world.checker.broken],
+    records: world.recordsBroken.map(
+      ({ rule, what, at: when }) => `${rule} at ${String(when)}: ${what}`,
+    ),
+    starts: world.checker.starts.length,
+    finals: world.finals.size,
+  };
+}
+
+/** Both teams have more to do than their limits let them. */
+function submitWork(world: World): void {
+  const { chance } = world;
+  for (let index = 0; index < 60; index++)
+    at(world, index * 2.5, () => {
+      const spec: Partial<JobSpec> = {
+        owner: index % 2 === 0 ? 'red' : 'blue',
+        image: `img-${String(index % 3)}`,
+        tasks: chance.int(1, 8),
+        cpus: 2,
+        reclaimable: true,
+        expect_s: chance.real(3, 20),
+      };
+      world.user(spec, chance.hit(0.1) ? chance.real(0, 9000) : null);
+    });
+}
+
+/** Answers of 40 to 400 ms, some 429 and 503, readings in pages of a few records. */
+function slowDown({ store, time }: World): void {
+  time.after(SLOW_FROM_S * 1000, () => {
+    store.latencyMs = [40, 400];
+    store.troubleShare = 0.03;
+    store.pageItems = 3;
+  });
+  time.after(SLOW_UNTIL_S * 1000, () => {
+    store.latencyMs = null;
+    store.troubleShare = 0;
+    store.pageItems = 1000;
+  });
+}
+
+function roll(world: World, everyS: number): void {
+  const hosts = world.hosts();
+  for (let n = 0; SLOW_FROM_S + 5 + n * everyS < SLOW_UNTIL_S; n++)
+    at(world, SLOW_FROM_S + 5 + n * everyS, () => {
+      world.kill(hosts[n % hosts.length] ?? 'a', world.chance.real(500, 3000));
+    });
+}
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -20,6 +20,12 @@
   refused = new Set<string>();
   /** How much longer each request takes. */
   slowMs = 0;
+  /** Least and most that a request takes on its way and its answer on the way back, drawn for each; null: no time. */
+  latencyMs: readonly [number, number] | null = null;
+  /** Share of the requests, leases excepted, that get 429 or 503 instead of being served. */
+  troubleShare = 0;
+  /** A reading gets at most this many records at a time. */
+  pageItems = 1000;
   /** Host -> how much later it gets the answers to its watches, as they were when they were made. */
   readonly watchDelayMs = new Map<string, number>();
   /** Hosts whose reads and watches get 429; their transactions and leases are served. */
@@ -63,8 +69,20 @@
   }
 
   async handle(from: string, call: Call): Promise<Answer> {
-    if (this.slowMs > 0) await new Promise<void>((done) => this.time.after(this.slowMs, done));
-    return this.serve(from, call);
+    if (this.slowMs > 0) await this.wait(this.slowMs);
+    const { latencyMs } = this;
+    if (!latencyMs) return this.serve(from, call);
+    await this.wait(this.chance.real(...latencyMs) / 2);
+    const isTroubled = this.chance.hit(this.troubleShare) && !call.path.startsWith('/leases');
+    const answer = isTroubled
+      ? { status: this.chance.hit(0.5) ? 429 : 503, body: { error: 'trouble' } }
+      : await this.serve(from, call);
+    await this.wait(this.chance.real(...latencyMs) / 2);
+    return answer;
+  }
+
+  private wait(ms: number): Promise<void> {
+    return new Promise((done) => this.time.after(ms, done));
   }
 
   private serve(from: string, call: Call): Promise<Answer> | Answer {
@@ -129,7 +147,7 @@
   private list(url: URL): Answer {
     const under = url.searchParams.get('under') ?? '';
     const since = url.searchParams.get('since') ?? '';
-    const page = Number(url.searchParams.get('page') ?? 1000);
+    const page = Math.min(this.pageItems, Number(url.searchParams.get('page') ?? 1000));
     const all = [...this.keys]
       .filter(([key]) => key.startsWith(under) && key > since)
       .sort(([a], [b]) => (a < b ? -1 : 1));
