--- a/src/controller.ts
+++ b/src/controller.ts
@@ -2,10 +2,12 @@
 import { CloudClient } from './cloud/client.js';
 import type { Operator } from './config/operator.js';
 import type { Settings } from './config/settings.js';
+import { Integrity } from './domain/integrity.js';
 import { DomainManager } from './domain/manager.js';
 import { Provisioner } from './fleet/provisioner.js';
 import { JobApi } from './jobs/api.js';
 import type { Log } from './log.js';
+import { Metrics } from './metrics.js';
 import type { Ask, Serve } from './mesh/link.js';
 import { Peers, type PeerAcknowledgement } from './mesh/peers.js';
 import { Placer } from './placement/placer.js';
@@ -53,6 +55,9 @@
   private readonly jobApi: JobApi;
   private readonly commitLoop: CommitLoop;
   private readonly peers: Peers;
+  private readonly integrity: Integrity;
+  /** Figures that can be read while the process runs. */
+  readonly metrics = new Metrics();
   private stopped = false;
 
   constructor(
@@ -104,11 +109,27 @@
     const wake = (): void => {
       this.commitLoop.wake();
     };
-    this.watcher = new ReplicaWatcher(store, this.state, clock, log, {
-      blockMs: leaseMs / 5,
-      pauseMs: reportMs / 5,
-      gapMs,
-    });
+    this.watcher = new ReplicaWatcher(
+      store,
+      this.state,
+      clock,
+      log,
+      {
+        blockMs: leaseMs / 5,
+        pauseMs: reportMs / 5,
+        gapMs,
+      },
+      this.metrics,
+    );
+    this.integrity = new Integrity(
+      { everyMs: leaseMs / 4 },
+      teams,
+      this.state,
+      clock,
+      log,
+      this.metrics,
+      () => this.watcher.reread(),
+    );
     this.domainManager = new DomainManager(
       {
         self,
@@ -131,6 +152,8 @@
         this.workerManager.ownersChanged(this.domainManager.own().m.keys());
       },
       () => this.replicaAgeMs() < leaseMs * 0.3 && this.workerManager.cutOff(),
+      this.integrity,
+      this.metrics,
     );
     this.workerManager = new WorkerManager(
       {
@@ -175,6 +198,8 @@
       clock,
       log,
       wake,
+      this.integrity,
+      this.metrics,
     );
     this.provisioner = new Provisioner(
       {
@@ -208,6 +233,7 @@
       () => dependencies.memoryIsShort(),
       clock,
       log,
+      () => this.integrity.isSound,
     );
     this.commitLoop = new CommitLoop(
       {
@@ -227,7 +253,9 @@
       log,
       () => this.watcher.catchUp(reportMs),
       reportMs / 8,
+      this.metrics,
     );
+    this.observe();
     this.routes = this.makeRoutes();
   }
 
@@ -260,15 +288,28 @@
     while (!this.stopped) {
       this.placer.touch();
       this.workerManager.tick();
+      if (this.watcher.loaded) this.integrity.tick();
       if (this.dependencies.clock.now() - toldAt > this.settings.settings.workers.lease_s * 1000) {
         toldAt = this.dependencies.clock.now();
         this.dependencies.log.info(this.placer.summary(), 'own domain');
-        this.domainManager.quota.logViolations();
       }
       await sleep(this.dependencies.clock, (this.settings.settings.workers.report_s * 1000) / 4);
     }
   }
 
+  private observe(): void {
+    const { domainManager, state } = this;
+    this.metrics.observe({
+      incarnation: () => domainManager.incarnation,
+      term: () => state.term,
+      leaseSeconds: () => domainManager.leaseLeftMs / 1000,
+      generation: () => state.replica.generation,
+      replicaAgeSeconds: () => this.replicaAgeMs() / 1000,
+      machines: () => domainManager.own().m.size,
+      quota: () => domainManager.quota.parts(),
+    });
+  }
+
   private async provisionerLoop(): Promise<void> {
     while (!this.stopped) {
       const { clock } = this.dependencies;
--- /dev/null
+++ b/src/domain/integrity.ts
@@ -0,0 +1,183 @@
+/**
+ * The one place that decides whether, as far as the records are sound, something may be placed, dealt or moved.
+ *
+ * Two kinds of invariants are watched while the process runs: what is derived from the replica equals its records,
+ * and what is recorded of the teams' limits adds up. No order of commits and readings breaks either; should one be
+ * broken all the same, whatever rests on it stands still until it holds again.
+ */
+import type { Clock } from '../clock.js';
+import type { Log } from '../log.js';
+import type { Metrics } from '../metrics.js';
+import type { TeamShare } from '../placement/plan.js';
+import { keys, type Amount } from '../store/records.js';
+import type { State } from '../store/state.js';
+import { auditIndexes } from '../store/state-audit.js';
+
+export interface IntegrityOptions {
+  /** The whole check is made this often, in milliseconds, or less often if it takes long. */
+  everyMs: number;
+}
+
+/** A broken invariant of the limits, with the record that shows it. */
+export interface LimitViolation {
+  rule: 'use over part' | 'parts over limit' | 'no owner';
+  key: string;
+  team: string;
+  /** What there may be, and what there is. */
+  allowed: Amount;
+  found: Amount;
+}
+
+/** Sums that are added to and taken from may be off by this. */
+const EPSILON = 1e-6;
+/** Of all time, the check takes at most one part in so many. */
+const MOST_OF_TIME = 100;
+/** Differences that one check logs one by one; the rest is counted. */
+const MOST_LOGGED = 10;
+const NONE: Amount = { cpus: 0, cards: 0 };
+
+export class Integrity {
+  private nextAt = -Infinity;
+  /** The indexes differ from the records: nothing that rests on them is decided. */
+  private isSuspect = false;
+  /** Teams with tasks recorded on machines that no domain holds. */
+  private unowned = new Set<string>();
+
+  constructor(
+    private readonly options: IntegrityOptions,
+    private readonly teams: ReadonlyMap<string, TeamShare>,
+    private readonly state: State,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly metrics: Metrics,
+    /** Has the replica read anew; settles when that was tried. */
+    private readonly reread: () => Promise<boolean>,
+  ) {}
+
+  /** Whether what is derived from the records can be built on. */
+  get isSound(): boolean {
+    return !this.isSuspect;
+  }
+
+  /** Whether tasks of a team may be placed on the machines of a domain. */
+  mayPlace(team: string, host: string): boolean {
+    return this.isSound && !this.unowned.has(team) && !this.exceedsPart(host, team);
+  }
+
+  /** Whether parts of a team's limit may pass from one domain to another. */
+  mayDeal(team: string): boolean {
+    if (!this.isSound || this.unowned.has(team)) return false;
+    return ![...this.state.domains.keys()].some((host) => this.exceedsPart(host, team));
+  }
+
+  /** Whether machines may be lent or handed back by a living peer; its teams' parts must cover what goes along. */
+  mayLend(host: string): boolean {
+    if (!this.isSound) return false;
+    return ![...this.state.usedOn(host).keys()].some((team) => this.exceedsPart(host, team));
+  }
+
+  /** Makes the whole check if it is due. */
+  tick(): void {
+    const from = this.clock.now();
+    if (from < this.nextAt) return;
+    this.check();
+    const tookMs = this.clock.now() - from;
+    this.nextAt = from + Math.max(this.options.everyMs, tookMs * MOST_OF_TIME);
+  }
+
+  /** Compares everything now, logs and counts what is broken, and has the replica read anew if it must be. */
+  check(): void {
+    this.checkIndexes();
+    const violations = this.limitViolations();
+    this.unowned = new Set(
+      violations.filter(({ rule }) => rule === 'no owner').map(({ team }) => team),
+    );
+    for (const { rule, key, team, allowed, found } of violations) {
+      this.metrics.violations.inc(rule);
+      const facts = { rule, key, stamp: this.state.stampOf(key), ...this.moment() };
+      this.log.error({ ...facts, team, allowed, found }, 'limit violated by the records');
+    }
+  }
+
+  private checkIndexes(): void {
+    const differences = auditIndexes(this.state);
+    const wasSuspect = this.isSuspect;
+    this.isSuspect = differences.length > 0;
+    for (const { index } of differences) this.metrics.indexDifferences.inc(index);
+    for (const difference of differences.slice(0, MOST_LOGGED))
+      this.log.error(
+        { ...difference, count: differences.length },
+        'index differs from the records: replica is read anew',
+      );
+    for (const machine of this.state.listedTwice())
+      this.log.error({ machine, ...this.moment() }, 'machine listed by two domains');
+    if (this.isSuspect) void this.recover();
+    else if (wasSuspect) this.log.info(this.moment(), 'index equals the records again');
+  }
+
+  private async recover(): Promise<void> {
+    await this.reread();
+    this.state.rebuild();
+    // Looked at again with the next tick, whatever came of it.
+    this.nextAt = -Infinity;
+  }
+
+  private limitViolations(): LimitViolation[] {
+    const violations: LimitViolation[] = [];
+    for (const [host, { quota }] of this.state.domains)
+      for (const [team, found] of this.state.usedOn(host))
+        if (this.exceedsPart(host, team))
+          violations.push({
+            rule: 'use over part',
+            key: keys.domain(host),
+            team,
+            allowed: quota[team] ?? NONE,
+            found,
+          });
+    for (const [team, { cpusMax, cardsMax }] of this.teams) {
+      const allowed = { cpus: cpusMax, cards: cardsMax };
+      const found = this.dealt(team);
+      if (exceeds(found, allowed))
+        violations.push({ rule: 'parts over limit', key: '', team, allowed, found });
+    }
+    return [...violations, ...this.withoutOwner()];
+  }
+
+  /** What teams have recorded on machines that no domain holds: no part of a limit counts it. */
+  private withoutOwner(): LimitViolation[] {
+    const machines = [...this.state.onBox.keys()].filter((id) => !this.state.ownerOf(id));
+    return machines.flatMap((machine) =>
+      [...this.state.usageOn([machine])].map(([team, found]): LimitViolation => ({
+        rule: 'no owner',
+        key: machine,
+        team,
+        allowed: NONE,
+        found,
+      })),
+    );
+  }
+
+  private dealt(team: string): Amount {
+    const sum = { ...NONE };
+    for (const { quota } of this.state.domains.values()) {
+      sum.cpus += quota[team]?.cpus ?? 0;
+      sum.cards += quota[team]?.cards ?? 0;
+    }
+    return sum;
+  }
+
+  private exceedsPart(host: string, team: string): boolean {
+    const part = this.state.domains.get(host)?.quota[team] ?? NONE;
+    return exceeds(this.state.usedOn(host).get(team) ?? NONE, part);
+  }
+
+  /** How far the replica is, and for how long it has not been proved current. */
+  private moment(): { generation: number; ageMs: number } {
+    const { generation, freshAt } = this.state.replica;
+    return { generation, ageMs: Math.round(this.clock.now() - freshAt) };
+  }
+}
+
+function exceeds(found: Amount, allowed: Amount): boolean {
+  return found.cpus > allowed.cpus + EPSILON || found.cards > allowed.cards + EPSILON;
+}
--- a/src/domain/manager.ts
+++ b/src/domain/manager.ts
@@ -1,5 +1,6 @@
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
+import type { Metrics } from '../metrics.js';
 import type { TeamShare } from '../placement/plan.js';
 import type { Change, Guard, StoreClient, Txn } from '../store/client.js';
 import type { Proposal, Source } from '../store/commit-loop.js';
@@ -16,6 +17,7 @@
 import type { State } from '../store/state.js';
 import { NoAnswer } from '../wire/client.js';
 import { compare, partitionForTakeover } from './dealing.js';
+import type { Integrity } from './integrity.js';
 import { layLists, reshard } from './shards.js';
 import { QuotaManager } from './quota-manager.js';
 import { takeFrom } from './shares.js';
@@ -71,8 +73,10 @@
     private readonly onHolding: () => void,
     /** No worker is heard or reached any more, although the store is: the fault is this node's own. */
     private readonly cutOff: () => boolean,
+    private readonly integrity: Integrity,
+    private readonly metrics: Metrics,
   ) {
-    this.quota = new QuotaManager(figures, teams, state, clock, log);
+    this.quota = new QuotaManager(figures, teams, state, clock, log, integrity, () => this.basis());
     this.unowned = new UnownedMachines(figures, state, clock, log, wake, {
       own: () => this.own(),
       reshard: (host, set) => this.reshard(host, { set }),
@@ -102,6 +106,23 @@
     return this.inc ?? 0;
   }
 
+  /** Time left of the own liveness lease, by this process's reckoning. */
+  get leaseLeftMs(): number {
+    return Math.max(0, this.leaseUntil - this.clock.now());
+  }
+
+  /** What a decision of this moment is made under, for the log. */
+  basis(): object {
+    const { generation, freshAt } = this.state.replica;
+    return {
+      incarnation: this.incarnation,
+      term: this.state.term,
+      leaseMs: Math.round(this.leaseLeftMs),
+      generation,
+      ageMs: Math.round(this.clock.now() - freshAt),
+    };
+  }
+
   /** Term under which this process may command the machine, or null if it is not this process's. */
   termFor(box: string): number | null {
     const owner = this.state.ownerOf(box);
@@ -169,7 +190,13 @@
   private held(name: string, propose: () => Proposal | null): Source {
     return {
       name,
-      propose: () => (this.inc !== null && this.clock.now() < this.leaseUntil ? propose() : null),
+      propose: () => {
+        if (this.inc === null || this.clock.now() >= this.leaseUntil) return null;
+        // All of these rest on who owns what.
+        if (this.integrity.isSound) return propose();
+        this.metrics.refusals.inc(name);
+        return null;
+      },
     };
   }
 
@@ -291,7 +318,7 @@
           if (outcome.kind !== 'done') return;
           this.strays = true;
           this.log.info(
-            { from, machines: count, term: this.state.term, lent },
+            { from, machines: count, lent, guards: txn.guards.length, ...this.basis() },
             'machines taken over',
           );
         },
@@ -390,7 +417,7 @@
       bytes: TXN_BYTES,
     });
     transaction.guard(this.guard());
-    for (const host of this.state.parts.keys())
+    for (const host of this.state.recordingHosts())
       if (host !== self)
         for (const key of this.state.partKeys(host))
           if (!transaction.adopt(key, (box) => this.termFor(box) !== null)) break;
@@ -414,6 +441,7 @@
     const mine = this.own().m.size;
     const [largest] = sizes;
     if (!largest || largest.host === this.figures.self || mine > mean * UNEVEN) return null;
+    if (!this.integrity.mayLend(largest.host)) return null;
     const count = Math.floor(Math.min(mean - mine, largest.boxes.length - mean));
     if (count < 1) return null;
     const idleFirst = [...largest.boxes].sort(
--- a/src/domain/quota-manager.ts
+++ b/src/domain/quota-manager.ts
@@ -9,6 +9,7 @@
 import type { Proposal } from '../store/commit-loop.js';
 import { keys, storeHead, type Amount, type Domain } from '../store/records.js';
 import type { State } from '../store/state.js';
+import type { Integrity } from './integrity.js';
 import { rebalanceQuota, type QuotaShortfall } from './shares.js';
 
 export interface QuotaManagerOptions {
@@ -21,8 +22,6 @@
 }
 
 const NONE: Amount = { cpus: 0, cards: 0 };
-/** Sums that are added to and taken from may be off by this. */
-const EPSILON = 1e-6;
 
 /** What is left of the own parts, and what is taken over from peers that do not need theirs. */
 export class QuotaManager {
@@ -36,6 +35,9 @@
     private readonly state: State,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly integrity: Integrity,
+    /** What a decision of this moment is made under, for the log. */
+    private readonly basis: () => object,
   ) {}
 
   /** What each team may still use on the own machines: the own part of its limit, less what may be on them. */
@@ -44,6 +46,10 @@
     const used = this.state.usedOn(this.options.self);
     const left = new Map<string, Amount>();
     for (const team of this.teams.keys()) {
+      if (!this.integrity.mayPlace(team, this.options.self)) {
+        left.set(team, NONE);
+        continue;
+      }
       const part = quota[team] ?? NONE;
       const on = used.get(team) ?? NONE;
       // Less than nothing undealt: the limit was lowered since the parts were dealt.
@@ -86,8 +92,10 @@
         .map(([host, { quota }]) => [host, { quota, used: this.state.usedOn(host) }]),
     );
     const mine = { quota: own.quota, used: this.state.usedOn(self) };
-    const dealt = rebalanceQuota(mine, this.shortfalls, parts, this.mostGivers(parts.keys()));
+    const lacking = new Map([...this.shortfalls].filter(([team]) => this.integrity.mayDeal(team)));
+    const teams = [...lacking.keys()];
     this.shortfalls.clear();
+    const dealt = rebalanceQuota(mine, lacking, parts, this.mostGivers(parts.keys()));
     if (!dealt) return null;
     const guards: Guard[] = [this.state.guard(keys.domain(self))];
     const apply: Change[] = [
@@ -104,33 +112,23 @@
     return {
       txn: { guards, apply },
       settled: (outcome) => {
-        if (outcome.kind === 'done') this.log.debug({ from: dealt.others.size }, 'quota dealt');
+        if (outcome.kind !== 'done') return;
+        const amounts = teams.map((team) => [team, dealt.own[team], mine.used.get(team) ?? NONE]);
+        this.log.debug(
+          { from: [...dealt.others.keys()], amounts, guards, ...this.basis() },
+          'quota dealt',
+        );
       },
     };
   }
 
-  /**
-   * Logs what no order of commits leads to, but what an earlier version may have left behind: more recorded
-   * than the own part allows, or an allocation on a machine that no domain holds. For such a team nothing is
-   * placed here until enough of its tasks have ended; none is stopped for it.
-   */
-  logViolations(): void {
-    const { self } = this.options;
+  /** Parts of the limits that the own domain has, and what is used of them. */
+  *parts(): Generator<{ team: string; kind: 'cpus' | 'cards'; part: number; used: number }> {
     const quota = this.own()?.quota ?? {};
-    for (const [team, used] of this.state.usedOn(self)) {
-      const part = quota[team] ?? NONE;
-      if (used.cpus <= part.cpus + EPSILON && used.cards <= part.cards + EPSILON) continue;
-      this.log.error(
-        { key: keys.domain(self), team, part, used },
-        'team over its part of the limit',
-      );
-    }
-    for (const [machine, jobs] of this.state.onBox)
-      if (!this.state.ownerOf(machine))
-        this.log.error(
-          { machine, jobs: [...jobs] },
-          'tasks recorded on a machine without an owner',
-        );
+    const used = this.state.usedOn(this.options.self);
+    for (const team of this.teams.keys())
+      for (const kind of ['cpus', 'cards'] as const)
+        yield { team, kind, part: quota[team]?.[kind] ?? 0, used: used.get(team)?.[kind] ?? 0 };
   }
 
   private own(): Domain | undefined {
--- a/src/domain/shares.ts
+++ b/src/domain/shares.ts
@@ -8,7 +8,8 @@
 
 /**
  * What goes along when machines change hands: what their tasks use, and `share` of what is unused there.
- * The sum over both domains stays the same.
+ * The sum over both domains stays the same. What the tasks use is never cut: should the giver have less, which
+ * sound records exclude, its part falls below nothing, so that the shortage stays where it was and is seen.
  */
 export function takeFrom(
   from: { quota: Quota; used: Used },
@@ -21,7 +22,7 @@
     const used = from.used.get(team) ?? NONE;
     const moving = to.moving.get(team) ?? NONE;
     const going = (have: number, use: number, move: number): number =>
-      Math.min(have, move + Math.max(0, have - use) * share);
+      move + Math.max(0, have - use) * share;
     const cpus = going(part.cpus, used.cpus, moving.cpus);
     const cards = going(part.cards, used.cards, moving.cards);
     const mine = got[team] ?? NONE;
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -39,6 +39,8 @@
     private readonly memoryIsShort: () => boolean,
     private readonly clock: Clock,
     private readonly log: Log,
+    /** Whether what is derived from the records can be built on. */
+    private readonly isSound: () => boolean,
   ) {}
 
   async submit(body: Body): Promise<Reply> {
@@ -149,7 +151,7 @@
   private ending(uid: string): Txn | null {
     const job = this.state.jobs.get(uid);
     const end = job ? endOf(job) : null;
-    if (!end) return null;
+    if (!end || !this.isSound()) return null;
     return {
       guards: [
         { key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) },
@@ -180,7 +182,7 @@
     const apply: Change[] = [];
     for (const uid of this.over) {
       const ending = this.ending(uid);
-      if (!ending) this.over.delete(uid);
+      if (!ending && this.isSound()) this.over.delete(uid);
       // One of the live controllers does it; which one does not matter, as the guards decide.
       if (!ending || this.concluding.has(uid) || turnOf(uid, hosts, this.figures.self) !== 0)
         continue;
@@ -204,7 +206,7 @@
     const until = this.clock.now() + timeoutMs;
     for (;;) {
       const leftMs = until - this.clock.now();
-      if (leftMs <= 0 || !(await this.watcher.current(leftMs))) return 'unknown';
+      if (leftMs <= 0 || !(await this.watcher.current(leftMs)) || !this.isSound()) return 'unknown';
       const job = this.state.jobs.get(uid);
       if (!job) return this.lookUpEnd(uid, until);
       if (job.cancelled || finalState(job) === null) return { job };
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -5,6 +5,7 @@
 /** Frames between controllers: four bytes of length, then a CBOR map. */
 const HEADER = 4;
 const MAX_FRAME = 256 * 1024;
+const HTTP_START = Buffer.from('GET ');
 
 export type Serve = (ask: string, body: Body) => Promise<Body>;
 /** Asks a peer; throws NoAnswer when there is none in time. */
@@ -40,28 +41,46 @@
   });
 }
 
-export function meshServer(serve: Serve, maxPeers: number): Server {
+/**
+ * Serves peers, and over HTTP, on connections that begin with `GET `, whatever `http` answers. No frame begins
+ * like that: it would be far over the limit.
+ */
+export function meshServer(
+  serve: Serve,
+  maxConnections: number,
+  http: (socket: Socket) => void,
+): Server {
   const server = createServer({ noDelay: true }, (socket) => {
     socket.on('error', () => undefined);
-    readFrames(socket, ({ id, ask, body }) => {
-      if (typeof ask !== 'string' || typeof body !== 'object' || body === null) {
-        socket.destroy();
-        return;
-      }
-      serve(ask, body as Body).then(
-        (answer) => {
-          if (!socket.destroyed) socket.write(frame({ id, body: answer }));
-        },
-        () => {
-          socket.destroy();
-        },
-      );
+    socket.once('data', (first: Buffer) => {
+      socket.pause();
+      socket.unshift(first);
+      if (first.subarray(0, HTTP_START.length).equals(HTTP_START)) http(socket);
+      else serveFrames(socket, serve);
+      socket.resume();
     });
   });
-  server.maxConnections = maxPeers;
+  server.maxConnections = maxConnections;
   return server;
 }
 
+function serveFrames(socket: Socket, serve: Serve): void {
+  readFrames(socket, ({ id, ask, body }) => {
+    if (typeof ask !== 'string' || typeof body !== 'object' || body === null) {
+      socket.destroy();
+      return;
+    }
+    serve(ask, body as Body).then(
+      (answer) => {
+        if (!socket.destroyed) socket.write(frame({ id, body: answer }));
+      },
+      () => {
+        socket.destroy();
+      },
+    );
+  });
+}
+
 /** One kept connection to a peer, made anew when it breaks or when an answer stays out. */
 export function meshLink(address: string): Ask {
   const { host, port } = splitAddress(address);
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -2,8 +2,10 @@
 import type { Flavor } from '../cloud/client.js';
 import type { DomainManager } from '../domain/manager.js';
 import { compare, turnOf } from '../domain/dealing.js';
+import type { Integrity } from '../domain/integrity.js';
 import { place, waitingCount } from '../jobs/life.js';
 import type { Log } from '../log.js';
+import type { Metrics } from '../metrics.js';
 import type { Proposal, Source } from '../store/commit-loop.js';
 import { TransactionBuilder, TXN_BYTES } from '../store/transaction-builder.js';
 import { keys, type MachineRecord, type JobRecord } from '../store/records.js';
@@ -82,6 +84,8 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly wake: () => void,
+    private readonly integrity: Integrity,
+    private readonly metrics: Metrics,
   ) {}
 
   /** Machine types have been read: places are made of them. */
@@ -255,6 +259,11 @@
     const due = this.workerManager.endingsDue();
     const now = this.clock.now();
     if (!this.domainManager.registered || (!this.dirty && !due)) return null;
+    // What may be placed or recorded as ended rests on what is derived from the records.
+    if (!this.integrity.isSound) {
+      this.metrics.refusals.inc('work');
+      return null;
+    }
     // Changes that come thick are planned for in bunches, and planning leaves time for all else: a renewal
     // that is late behind it is a takeover for nothing.
     const rest = Math.max(due ? 0 : this.figures.spreadMs, this.tookMs * RESTS);
@@ -338,7 +347,8 @@
         this.dirty = true;
         if (outcome.kind !== 'done') return;
         ended();
-        this.log.debug({ changes: transaction.size, tasks }, 'work recorded');
+        const { size: changes } = transaction;
+        this.log.debug({ changes, tasks, ...this.domainManager.basis() }, 'work recorded');
       },
     };
   }
@@ -404,7 +414,7 @@
       for (const [host, domain] of this.state.domains) {
         if (host === this.figures.self) continue;
         const wanted = [...new Set(boxes)].filter((box) => domain.m.has(box));
-        if (wanted.length === 0) continue;
+        if (wanted.length === 0 || !this.integrity.mayLend(host)) continue;
         const proposal = this.domainManager.move(host, domain, wanted, true);
         return {
           ...proposal,
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -6,10 +6,14 @@
 import { makeLog } from './log.js';
 import { memoryGuard } from './memory-guard.js';
 import { meshLink, meshServer } from './mesh/link.js';
+import { metricsHandler } from './mesh/metrics-endpoint.js';
 import { httpCaller, splitAddress } from './wire/client.js';
 import { divide, Links } from './wire/links.js';
 import { makeServer } from './wire/server.js';
 
+/** Connections to the internal address beside those of peers: for who reads the metrics. */
+const METRICS_CONNECTIONS = 2;
+
 /** Starts one controller on the real network and keeps it running. */
 export async function serve(settings: Settings, operator: Operator): Promise<void> {
   const log = makeLog(settings.host_name);
@@ -42,7 +46,11 @@
       target.once('error', reject);
       target.listen(port, host, resolve);
     });
-  const mesh = meshServer(controller.serveMesh, settings.others.length * 4);
+  const mesh = meshServer(
+    controller.serveMesh,
+    settings.others.length * 4 + METRICS_CONNECTIONS,
+    metricsHandler(controller.metrics),
+  );
   await listen(mesh, settings.internal_addr);
   await listen(server, settings.serve_on);
   log.info({ serve_on: settings.serve_on }, 'listening');
--- a/src/store/commit-loop.ts
+++ b/src/store/commit-loop.ts
@@ -1,5 +1,6 @@
 import { sleep, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
+import type { Metrics } from '../metrics.js';
 import type { RateLimiter } from './rate-limiter.js';
 import type { Outcome, StoreClient, Txn } from './client.js';
 import type { State } from './state.js';
@@ -49,6 +50,7 @@
     private readonly log: Log,
     private readonly catchUp: () => Promise<boolean>,
     private readonly pauseMs: number,
+    private readonly metrics: Metrics,
   ) {}
 
   wake(): void {
@@ -98,6 +100,7 @@
 
   private async settle(name: string, proposal: Proposal): Promise<void> {
     const outcome = await this.store.commit(proposal.txn);
+    this.metrics.commits.inc(`${name}: ${outcome.kind}`);
     if (outcome.kind === 'done') {
       if (proposal.gains) await this.catchUp();
       this.state.replica.applied(proposal.txn.apply, outcome.generation);
--- a/src/store/records.ts
+++ b/src/store/records.ts
@@ -76,8 +76,11 @@
   return { inc: record.inc, term: record.t, quota };
 }
 
-/** What may be on machines: job -> machine -> task, attempt, task, attempt, ... */
-export type RunRecord = Record<string, Record<string, number[]>>;
+/** What may be on machines for one job: machine -> task, attempt, task, attempt, ... */
+export type Runs = Record<string, number[]>;
+
+/** The same for many jobs: job -> machine -> task, attempt, task, attempt, ... */
+export type RunRecord = Record<string, Runs>;
 
 /** Present while the controller's lease is renewed. */
 export interface LiveRecord {
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -1,4 +1,4 @@
-import type { Change, Changes, Item } from './client.js';
+import type { Change, Changes, Event, Item } from './client.js';
 import type { Body } from '../wire/codec.js';
 
 export interface Entry {
@@ -6,11 +6,21 @@
   stamp: number;
 }
 
-type Listener = (key: string, value: Body | null) => void;
+/** Keys that have changed since the last call, with the values they had then; null: no record. */
+export type ChangedRecords = ReadonlyMap<string, Body | null>;
+
+/** What the last change of a key left behind; a null value: it was deleted. */
+interface Final {
+  value: Body | null;
+  stamp: number;
+}
 
 /**
  * This process's copy of the state service under one prefix. It holds everything up to `generation`,
  * plus own commits that the watch has yet to bring.
+ *
+ * Of each reading, answer or commit only the last change of a key is taken up, by its stamp. So whoever derives
+ * anything from the records sees them as they are, and never a value that had been replaced when it arrived.
  */
 export class Replica {
   generation = 0;
@@ -19,12 +29,13 @@
   private readonly entries = new Map<string, Entry>();
   /** Own deletions ahead of `generation`, so that an older put cannot bring the key back. */
   private readonly removed = new Map<string, number>();
-  private whole = true;
+  private readonly changed = new Map<string, Body | null>();
 
   constructor(
-    private readonly onChange: Listener,
-    /** All changes that belong together have been told: what they make up is whole again. */
-    private readonly onWhole: () => void,
+    /** Told once all changes that belong together are in. */
+    private readonly onWhole: (changed: ChangedRecords) => void,
+    /** Records of these keys are told of and not kept: there is one for each job that ever ended. */
+    private readonly passes: (key: string) => boolean = () => false,
   ) {}
 
   get(key: string): Entry | undefined {
@@ -39,71 +50,89 @@
     return this.entries.keys();
   }
 
+  records(): Iterable<[string, Entry]> {
+    return this.entries;
+  }
+
   /**
    * Starts over from a full reading, whose parts are of different moments, together with all that was
-   * changed since the first of them was read. Own commits confirmed after that stay: nothing goes back.
+   * changed since the first of them was read. Own commits confirmed after that stay. False, and nothing
+   * changed, if this replica is further on than the reading: going back would lose what came in between.
    */
-  load(items: Item[], generation: number, asOf: number, since: Changes, sinceAsOf: number): void {
-    const seen = new Set(items.map((item) => item.key));
+  load(items: Item[], asOf: number, since: Changes, sinceAsOf: number): boolean {
+    if (since.generation < this.generation) return false;
+    const finals = new Map<string, Final>();
+    for (const { key, value, stamp } of items) note(finals, key, { value, stamp });
+    for (const event of since.events) noteEvent(finals, event);
     for (const [key, { stamp }] of [...this.entries])
-      if (!seen.has(key) && stamp <= since.generation) this.drop(key);
-    for (const { key, value, stamp } of items)
-      if (stamp >= this.stampOf(key) && (this.removed.get(key) ?? 0) < stamp)
-        this.set(key, value, stamp);
-    this.generation = generation;
-    this.freshAt = asOf;
-    this.follow(since, sinceAsOf);
+      if (!finals.has(key) && stamp <= since.generation) this.drop(key);
+    for (const [key, final] of finals) this.take(key, final);
+    this.reached(since.generation, Math.max(asOf, sinceAsOf));
+    return true;
   }
 
   /** `asOf` is when the request left: what the answer says was true no earlier than that. */
   follow(changes: Changes, asOf: number): void {
-    for (const event of changes.events) {
-      if (event.stamp <= this.generation) continue;
-      if ('delete' in event) {
-        if (this.stampOf(event.delete) <= event.stamp) this.drop(event.delete);
-      } else if (
-        this.stampOf(event.put) < event.stamp &&
-        (this.removed.get(event.put) ?? 0) < event.stamp
-      ) {
-        this.set(event.put, event.value, event.stamp);
-      }
-    }
-    this.generation = Math.max(this.generation, changes.generation);
-    this.freshAt = Math.max(this.freshAt, asOf);
-    for (const [key, stamp] of this.removed) if (stamp <= this.generation) this.removed.delete(key);
-    this.tell();
+    const finals = new Map<string, Final>();
+    for (const event of changes.events) if (event.stamp > this.generation) noteEvent(finals, event);
+    for (const [key, final] of finals) this.take(key, final);
+    this.reached(changes.generation, asOf);
   }
 
   /** An own commit that the store has confirmed. */
   applied(apply: Change[], generation: number): void {
     if (generation <= this.generation) return;
-    for (const change of apply) {
+    for (const change of apply)
       if ('delete' in change) {
-        if (this.stampOf(change.delete) > generation) continue;
-        this.removed.set(change.delete, generation);
-        this.drop(change.delete);
-      } else if (this.stampOf(change.put) < generation) {
-        this.set(change.put, change.value, generation);
-      }
-    }
+        if (this.stampOf(change.delete) <= generation) this.removed.set(change.delete, generation);
+        this.take(change.delete, { value: null, stamp: generation });
+      } else this.take(change.put, { value: change.value, stamp: generation });
     this.tell();
   }
 
-  private tell(): void {
-    if (this.whole) return;
-    this.whole = true;
-    this.onWhole();
+  private reached(generation: number, asOf: number): void {
+    this.generation = Math.max(this.generation, generation);
+    this.freshAt = Math.max(this.freshAt, asOf);
+    for (const [key, stamp] of this.removed) if (stamp <= this.generation) this.removed.delete(key);
+    this.tell();
   }
 
-  private set(key: string, value: Body, stamp: number): void {
-    this.entries.set(key, { value, stamp });
-    this.whole = false;
-    this.onChange(key, value);
+  /** Takes up the last change of a key, unless what is held is newer. */
+  private take(key: string, { value, stamp }: Final): void {
+    if (value === null) {
+      if (this.stampOf(key) <= stamp) this.drop(key);
+    } else if (this.stampOf(key) < stamp && (this.removed.get(key) ?? 0) < stamp) {
+      this.remember(key);
+      this.entries.set(key, { value, stamp });
+    }
   }
 
   private drop(key: string): void {
-    if (!this.entries.delete(key)) return;
-    this.whole = false;
-    this.onChange(key, null);
+    if (!this.entries.has(key)) return;
+    this.remember(key);
+    this.entries.delete(key);
+  }
+
+  private remember(key: string): void {
+    if (!this.changed.has(key)) this.changed.set(key, this.entries.get(key)?.value ?? null);
+  }
+
+  private tell(): void {
+    if (this.changed.size === 0) return;
+    const changed = new Map(this.changed);
+    this.changed.clear();
+    this.onWhole(changed);
+    for (const key of changed.keys()) if (this.passes(key)) this.entries.delete(key);
   }
 }
+
+/** The state service may name the changes of an answer in any order; their stamps say which came last. */
+function note(finals: Map<string, Final>, key: string, final: Final): void {
+  const known = finals.get(key);
+  if (!known || known.stamp < final.stamp) finals.set(key, final);
+}
+
+function noteEvent(finals: Map<string, Final>, event: Event): void {
+  if ('delete' in event) note(finals, event.delete, { value: null, stamp: event.stamp });
+  else note(finals, event.put, { value: event.value, stamp: event.stamp });
+}
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -1,33 +1,40 @@
+/** The replica read as records, with the indexes that the loops need. */
 import type { Body } from '../wire/codec.js';
+import { AllocationIndex, addTasks } from './allocation-index.js';
 import type { Change, Guard } from './client.js';
+import { LossHistory } from './loss-history.js';
+import { MachineIndex } from './machine-index.js';
+import { getOrAdd, setOrDelete } from './maps.js';
+import {
+  OwnershipIndex,
+  type Owner,
+  type OwnerChange,
+  type ShardChange,
+} from './ownership-index.js';
 import {
   keyParts,
   keys,
   readHead,
   type Amount,
-  type MachineRecord,
   type Domain,
   type EndRecord,
   type FleetRecord,
   type HeadRecord,
   type JobRecord,
-  type JobSpec,
   type ListRecord,
   type LiveRecord,
   type MachineBatchRecord,
+  type MachineRecord,
   type RunRecord,
+  type Runs,
   type ShardRecord,
   type StoredJob,
   type TermRecord,
 } from './records.js';
-import { Replica } from './replica.js';
-
-export type Runs = Record<string, number[]>;
+import { Replica, type ChangedRecords } from './replica.js';
 
 /** Final states kept in memory; older ones are asked of the store. */
 const ENDS_KEPT = 2000;
-/** Names of removed machines kept in memory. */
-const REMOVED_KEPT = 5000;
 
 /** What has changed since the state was last whole. */
 export interface Changed {
@@ -39,122 +46,117 @@
   touched: Set<string>;
   /** A controller came, went or changed. */
   hosts: boolean;
-  /** Machine -> the controller whose domain it left, if only for another shard. */
-  left: Map<string, string>;
 }
 
-const nothing = (): Changed => ({
-  jobs: new Set(),
-  boxes: new Set(),
-  owned: new Set(),
-  touched: new Set(),
-  hosts: false,
-  left: new Map(),
-});
-
-/** Machines seen to leave a domain, with the stamp that its head had then; none that left by `since` is among them. */
-interface Losses {
-  since: number;
-  boxes: Map<string, number>;
+/** Changed records of one batch, by kind, as the indexes take them up. */
+interface Batch {
+  heads: Map<string, HeadRecord | null>;
+  shards: ShardChange[];
+  lots: Map<string, MachineBatchRecord | null>;
+  runs: Map<string, RunRecord | null>;
+  jobs: Map<string, StoredJob | null>;
+  isHostChange: boolean;
 }
 
-interface Owner {
-  host: string;
-  term: number;
-  /** Key of the shard that says so. */
-  shard: string;
-}
-
-/** The replica read as records, with the indexes that the loops need, kept up to date change by change. */
+/**
+ * Whatever is derived follows from the records that the replica holds, and not from the order in which they came:
+ * each index takes up the final records of a batch, owners first, then what is recorded on their machines. Kept
+ * beside that is only what no record says: final states seen, machines given back, machines that left a domain.
+ */
 export class State {
   readonly replica: Replica;
-  readonly jobs = new Map<string, JobRecord>();
-  readonly boxes = new Map<string, MachineRecord>();
-  readonly lots = new Map<string, MachineBatchRecord>();
   readonly domains = new Map<string, Domain>();
   /** Host -> shards of its domain by key; parts of its takeover lists likewise. */
   readonly shards = new Map<string, Map<string, ShardRecord>>();
   readonly lists = new Map<string, Map<string, ListRecord>>();
   readonly live = new Map<string, LiveRecord>();
-  /** Machine -> jobs that may have tasks on it. */
-  readonly onBox = new Map<string, Set<string>>();
-  readonly usage = new Map<string, Amount>();
-  /** Host -> what teams use on the machines of its domain. */
-  private readonly usageOf = new Map<string, Map<string, Amount>>();
   /** The last final states seen; older ones are asked of the store. */
   readonly ends = new Map<string, EndRecord>();
-  /** Host -> how many parts what is recorded on its machines has. */
-  readonly parts = new Map<string, number>();
-  /** The last machines whose records were removed: they were given back. */
-  readonly removed = new Set<string>();
   fleet: FleetRecord | undefined;
   term = 0;
   /** Counts transactions that gave machines their first holder. */
   newcomers = 0;
-  private readonly losses = new Map<string, Losses>();
-  private readonly owners = new Map<string, Owner>();
-  private readonly machines = new Map<string, Map<string, number>>();
-  private changed = nothing();
+  private ownership = new OwnershipIndex();
+  private machineIndex = new MachineIndex();
+  private allocations = this.newAllocations();
+  private readonly losses = new LossHistory();
+  /** Host -> numbers of the parts of what is recorded on its machines. */
+  private readonly partNumbers = new Map<string, Set<number>>();
   private readonly partNames = new Map<string, string[]>();
-  private readonly stored = new Map<string, StoredJob>();
-  private readonly runs = new Map<string, RunRecord>();
-  /** Job -> part -> what that part records of it. */
-  private readonly runsOf = new Map<string, Map<string, Runs>>();
 
   /** `onChange` is told once all changes of a transaction are in, never of a state halfway. */
   constructor(private readonly onChange: (changed: Changed) => void) {
     this.replica = new Replica(
-      (key, value) => {
-        this.note(key, value);
-      },
-      () => {
-        const { changed } = this;
-        this.changed = nothing();
-        for (const [box, host] of changed.left)
-          if (this.owners.get(box)?.host !== host) this.noteLost(host, box);
-        // Not before a whole reading is in: what left a domain while it was read was never seen here.
-        for (const host of this.domains.keys())
-          if (!this.losses.has(host))
-            this.losses.set(host, { since: this.stampOf(keys.domain(host)), boxes: new Map() });
-        this.onChange(changed);
+      (changed) => {
+        this.onChange(this.takeUp(changed));
       },
+      (key) => keyParts(key).kind === 'end',
     );
   }
 
+  get jobs(): ReadonlyMap<string, JobRecord> {
+    return this.allocations.jobs;
+  }
+
+  /** Machine -> jobs that may have tasks on it. */
+  get onBox(): ReadonlyMap<string, ReadonlySet<string>> {
+    return this.allocations.jobsOn;
+  }
+
+  /** Team -> what its tasks use, those in doubt counted. */
+  get usage(): ReadonlyMap<string, Amount> {
+    return this.allocations.usage;
+  }
+
+  get boxes(): ReadonlyMap<string, MachineRecord> {
+    return this.machineIndex.machines;
+  }
+
+  get lots(): ReadonlyMap<string, MachineBatchRecord> {
+    return this.machineIndex.batches;
+  }
+
+  /** The last machines whose records were removed: they were given back. */
+  get removed(): ReadonlySet<string> {
+    return this.machineIndex.removed;
+  }
+
+  /** Derives everything anew from the records, should an index have been found to differ from them. */
+  rebuild(): void {
+    this.ownership = new OwnershipIndex();
+    this.machineIndex = new MachineIndex();
+    this.allocations = this.newAllocations();
+    this.domains.clear();
+    const keysHeld = [...this.replica.keys()];
+    this.onChange(this.takeUp(new Map(keysHeld.map((key) => [key, null]))));
+  }
+
+  private newAllocations(): AllocationIndex {
+    return new AllocationIndex((machine) => this.ownerOf(machine)?.host);
+  }
+
   ownerOf(box: string): Owner | undefined {
-    return this.owners.get(box);
+    return this.ownership.ownerOf(box);
   }
 
-  /**
-   * Machines that have left a domain since its head had this stamp; null if that is not known from so far
-   * back. The holder asks with the stamp it has, so what it knows by now need not be remembered.
-   */
-  lostSince(host: string, stamp: number): Map<string, number> | null {
-    const losses = this.losses.get(host);
-    if (!losses) return new Map<string, number>();
-    if (losses.since > stamp) return null;
-    losses.since = stamp;
-    for (const [box, at] of losses.boxes) if (at <= stamp) losses.boxes.delete(box);
-    return losses.boxes;
+  /** Machines with their owners. */
+  owners(): ReadonlyMap<string, Owner> {
+    return this.ownership.all();
   }
 
-  /** Whoever takes a machine away puts the head in the same transaction, so its stamp is that of the loss or newer. */
-  private noteLost(host: string, box: string): void {
-    const losses = this.losses.get(host);
-    if (!losses) return;
-    losses.boxes.delete(box);
-    losses.boxes.set(box, this.stampOf(keys.domain(host)));
-    if (losses.boxes.size <= REMOVED_KEPT) return;
-    for (const [oldest, at] of losses.boxes) {
-      losses.boxes.delete(oldest);
-      losses.since = Math.max(losses.since, at);
-      break;
-    }
+  /** Machines that several shards list, against the rule of single owners. */
+  listedTwice(): ReadonlySet<string> {
+    return this.ownership.listedTwice();
   }
 
   /** The machines of a domain with their terms. */
   machinesOf(host: string): ReadonlyMap<string, number> {
-    return this.machines.get(host) ?? new Map<string, number>();
+    return this.ownership.machinesOf(host);
+  }
+
+  /** See `LossHistory.since`. */
+  lostSince(host: string, stamp: number): ReadonlyMap<string, number> | null {
+    return this.losses.since(host, stamp);
   }
 
   stampOf(key: string): number {
@@ -171,31 +173,31 @@
     return changes.map((one) => this.guard('put' in one ? one.put : one.delete));
   }
 
-  used(team: string): Amount {
-    return this.usage.get(team) ?? { cpus: 0, cards: 0 };
-  }
-
   run(key: string): RunRecord {
-    return this.runs.get(key) ?? {};
+    return this.allocations.run(key);
   }
 
   /** The parts that record anything of a job, with what they record. */
   partsOf(uid: string): ReadonlyMap<string, Runs> {
-    return this.runsOf.get(uid) ?? new Map<string, Runs>();
+    return this.allocations.partsOf(uid);
+  }
+
+  /** Controllers that record anything of what is on machines. */
+  recordingHosts(): Iterable<string> {
+    return this.partNumbers.keys();
   }
 
   /** Keys of all parts of a domain, and of the one that would come next: guarding them, nothing can be added unseen. */
   partKeys(host: string): string[] {
-    const count = this.parts.get(host) ?? 0;
-    const known = this.partNames.get(host) ?? [];
+    const count = Math.max(-1, ...(this.partNumbers.get(host) ?? [])) + 1;
+    const known = getOrAdd(this.partNames, host, () => []);
     for (let n = known.length; n <= count; n++) known.push(keys.run(host, n));
-    this.partNames.set(host, known);
     return known.slice(0, count + 1);
   }
 
   /** What the teams' tasks on the machines of a domain use, those in doubt counted. */
   usedOn(host: string): ReadonlyMap<string, Amount> {
-    return within(this.usageOf, host);
+    return this.allocations.usedOn(host);
   }
 
   /** The same for any machines. */
@@ -204,263 +206,115 @@
     for (const box of boxes)
       for (const uid of this.onBox.get(box) ?? []) {
         const job = this.jobs.get(uid);
-        if (!job) continue;
-        add(sums, job.s, (job.r[box]?.length ?? 0) / 2);
+        if (job) addTasks(sums, job.s, (job.r[box]?.length ?? 0) / 2);
       }
     return sums;
   }
 
-  private note(key: string, value: Body | null): void {
-    const { kind, name } = keyParts(key);
+  remember(uid: string, end: EndRecord): void {
+    this.ends.delete(uid);
+    this.ends.set(uid, end);
+    if (this.ends.size <= ENDS_KEPT) return;
+    for (const oldest of this.ends.keys()) {
+      this.ends.delete(oldest);
+      break;
+    }
+  }
+
+  private takeUp(changed: ChangedRecords): Changed {
+    const batch: Batch = {
+      heads: new Map(),
+      shards: [],
+      lots: new Map(),
+      runs: new Map(),
+      jobs: new Map(),
+      isHostChange: false,
+    };
+    for (const [key, before] of changed)
+      this.sort(batch, key, before, this.replica.get(key)?.value ?? null);
+    this.takeHeads(batch.heads);
+    const terms = new Map([...batch.heads].map(([host, head]) => [host, head?.t ?? 0]));
+    const owners = this.ownership.update(terms, batch.shards);
+    this.noteLosses(owners);
+    this.allocations.ownersChanged(owners);
+    const { jobs, machines } = this.allocations.update(batch.runs, batch.jobs);
+    return {
+      jobs,
+      boxes: this.machineIndex.update(batch.lots),
+      owned: new Set(owners.map(({ machine }) => machine)),
+      touched: machines,
+      hosts: batch.isHostChange,
+    };
+  }
+
+  /** Files a changed record by its kind; those that nothing else depends on are taken up at once. */
+  private sort(batch: Batch, key: string, before: Body | null, after: Body | null): void {
+    const { kind, name, part } = keyParts(key);
     switch (kind) {
-      case 'job':
-        this.noteStored(name, value as unknown as StoredJob | null);
+      case 'dom':
+        batch.isHostChange = true;
+        batch.heads.set(name, after as HeadRecord | null);
         break;
-      case 'run':
-        this.noteRun(key, value as RunRecord | null);
+      case 'own': {
+        const shard = after as ShardRecord | null;
+        batch.shards.push({ host: name, key, before: before as ShardRecord | null, after: shard });
+        setOrDelete(inner(this.shards, name), key, shard);
         break;
+      }
       case 'lot':
-        this.noteLot(name, value as MachineBatchRecord | null);
+        batch.lots.set(name, after as MachineBatchRecord | null);
         break;
-      case 'dom':
-        this.changed.hosts = true;
-        this.noteHead(name, value as HeadRecord | null);
+      case 'run':
+        batch.runs.set(key, after as RunRecord | null);
+        this.notePart(name, part, after !== null);
         break;
-      case 'own':
-        this.noteShard(name, key, value as ShardRecord | null);
+      case 'job':
+        batch.jobs.set(name, after as unknown as StoredJob | null);
         break;
       case 'live':
-        this.changed.hosts = true;
-        assign(this.live, name, value as LiveRecord | null);
+        batch.isHostChange = true;
+        setOrDelete(this.live, name, after as LiveRecord | null);
         break;
       case 'list':
-        assign(within(this.lists, name), key, value as ListRecord | null);
+        setOrDelete(inner(this.lists, name), key, after as ListRecord | null);
         break;
       case 'end':
-        if (value) this.remember(name, value as unknown as EndRecord);
+        if (after) this.remember(name, after as unknown as EndRecord);
         break;
       case 'term':
-        this.term = (value as TermRecord | null)?.t ?? 0;
+        this.term = (after as TermRecord | null)?.t ?? 0;
         break;
       case 'new':
-        this.newcomers = Number(value?.['n'] ?? 0);
+        this.newcomers = Number(after?.['n'] ?? 0);
         break;
       case 'fleet':
-        this.fleet = (value as FleetRecord | null) ?? undefined;
+        this.fleet = (after as FleetRecord | null) ?? undefined;
         break;
     }
   }
 
-  remember(uid: string, end: EndRecord): void {
-    this.ends.delete(uid);
-    this.ends.set(uid, end);
-    if (this.ends.size <= ENDS_KEPT) return;
-    for (const oldest of this.ends.keys()) {
-      this.ends.delete(oldest);
-      break;
-    }
-  }
-
-  /** The one map of a domain's machines, kept up to date in place. */
-  private shared(host: string): Map<string, number> {
-    return within(this.machines, host);
-  }
-
-  /** All machines of a domain are under its incarnation's term at least: one put raises them all. */
-  private noteHead(host: string, value: HeadRecord | null): void {
-    const before = this.domains.get(host)?.term ?? 0;
-    if (value) this.domains.set(host, { ...readHead(value), m: this.shared(host) });
-    else this.domains.delete(host);
-    const term = value?.t ?? 0;
-    if (term <= before) return;
-    for (const [box, under] of this.shared(host)) if (under < term) this.setTerm(box, host, term);
-  }
-
-  private setTerm(box: string, host: string, term: number): void {
-    const owner = this.owners.get(box);
-    if (!owner) return;
-    owner.term = term;
-    this.shared(host).set(box, term);
-    this.changed.owned.add(box);
-  }
-
-  private noteShard(host: string, key: string, value: ShardRecord | null): void {
-    const shards = within(this.shards, host);
-    const before = shards.get(key) ?? {};
-    assign(shards, key, value);
-    const after = new Map<string, number>();
-    const least = this.domains.get(host)?.term ?? 0;
-    for (const [term, boxes] of Object.entries(value ?? {}))
-      for (const box of boxes) after.set(box, Math.max(Number(term), least));
-    // A machine may have moved to another shard or domain in the same transaction already.
-    for (const box of Object.values(before).flat())
-      if (!after.has(box) && this.owners.get(box)?.shard === key) this.disown(box);
-    for (const [box, term] of after) {
-      const owner = this.owners.get(box);
-      if (owner?.shard === key && owner.term === term) continue;
-      if (owner) this.disown(box);
-      this.owners.set(box, { host, term, shard: key });
-      this.countOn(box, host, 1);
-      this.shared(host).set(box, term);
-      this.changed.owned.add(box);
-    }
-  }
-
-  private disown(box: string): void {
-    const owner = this.owners.get(box);
-    if (!owner) return;
-    this.countOn(box, owner.host, -1);
-    this.owners.delete(box);
-    this.shared(owner.host).delete(box);
-    this.changed.owned.add(box);
-    this.changed.left.set(box, owner.host);
-  }
-
-  /** A machine's tasks are counted for its domain, or no longer. */
-  private countOn(box: string, host: string, sign: 1 | -1): void {
-    for (const uid of this.onBox.get(box) ?? []) {
-      const job = this.jobs.get(uid);
-      if (job) add(within(this.usageOf, host), job.s, (sign * (job.r[box]?.length ?? 0)) / 2);
-    }
-  }
-
-  private noteLot(name: string, value: MachineBatchRecord | null): void {
-    const before = this.lots.get(name);
-    assign(this.lots, name, value);
-    for (const id of Object.keys(before?.b ?? {}))
-      if (!value || !(id in value.b)) {
-        this.boxes.delete(id);
-        bounded(this.removed, id);
-        this.changed.boxes.add(id);
-      }
-    if (!value) return;
-    for (const [id, address] of Object.entries(value.b)) {
-      const going = value.g?.[id];
-      if (before?.b[id] === address && before.g?.[id] === going) continue;
-      const box: MachineRecord = {
-        lot: name,
-        address,
-        flavor: value.f,
-        site: value.s,
-        reclaimable: value.r,
-        at: value.at,
-      };
-      if (going !== undefined) box.going = going;
-      this.boxes.set(id, box);
-      this.changed.boxes.add(id);
-    }
-  }
-
-  private noteStored(uid: string, value: StoredJob | null): void {
-    const before = this.stored.get(uid);
-    assign(this.stored, uid, value);
-    this.noteJob(uid);
-    if (before && value && !wantsOthers(before, value)) return;
-    for (const runs of this.partsOf(uid).values())
-      for (const box of Object.keys(runs)) this.changed.touched.add(box);
+  private notePart(host: string, part: number, exists: boolean): void {
+    const numbers = getOrAdd(this.partNumbers, host, () => new Set<number>());
+    if (exists) numbers.add(part);
+    else numbers.delete(part);
   }
 
-  private noteRun(key: string, value: RunRecord | null): void {
-    const { name: host, part } = keyParts(key);
-    this.parts.set(host, Math.max(this.parts.get(host) ?? 0, part + 1));
-    const before = this.runs.get(key) ?? {};
-    const after = value ?? {};
-    this.runs.set(key, after);
-    for (const uid of Object.keys(before)) if (!(uid in after)) this.setRuns(uid, key, null);
-    for (const [uid, runs] of Object.entries(after))
-      if (!sameRuns(before[uid], runs)) this.setRuns(uid, key, runs);
-  }
-
-  private setRuns(uid: string, key: string, runs: Runs | null): void {
-    let parts = this.runsOf.get(uid);
-    if (!parts) this.runsOf.set(uid, (parts = new Map()));
-    const before = parts.get(key) ?? {};
-    for (const box of new Set([...Object.keys(before), ...Object.keys(runs ?? {})]))
-      if (!samePairs(before[box], runs?.[box])) this.changed.touched.add(box);
-    if (runs) parts.set(key, runs);
-    else parts.delete(key);
-    if (parts.size === 0) this.runsOf.delete(uid);
-    this.noteJob(uid);
-  }
-
-  private noteJob(uid: string): void {
-    this.changed.jobs.add(uid);
-    const before = this.jobs.get(uid);
-    if (before) this.count(uid, before, -1);
-    const stored = this.stored.get(uid);
-    if (!stored) {
-      this.jobs.delete(uid);
-      return;
+  private takeHeads(heads: ReadonlyMap<string, HeadRecord | null>): void {
+    for (const [host, head] of heads) {
+      if (head) this.domains.set(host, { ...readHead(head), m: this.machinesOf(host) });
+      else this.domains.delete(host);
     }
-    const r: Runs = {};
-    for (const runs of this.partsOf(uid).values())
-      for (const [box, pairs] of Object.entries(runs))
-        r[box] = r[box] ? [...r[box], ...pairs] : pairs;
-    const job = { ...stored, r };
-    this.jobs.set(uid, job);
-    this.count(uid, job, 1);
   }
 
-  private count(uid: string, job: JobRecord, sign: 1 | -1): void {
-    let tasks = 0;
-    for (const [box, pairs] of Object.entries(job.r)) {
-      const here = pairs.length / 2;
-      tasks += here;
-      let set = this.onBox.get(box);
-      if (!set) this.onBox.set(box, (set = new Set()));
-      if (sign > 0) set.add(uid);
-      else set.delete(uid);
-      if (set.size === 0) this.onBox.delete(box);
-      const host = this.owners.get(box)?.host;
-      if (host !== undefined) add(within(this.usageOf, host), job.s, sign * here);
-    }
-    add(this.usage, job.s, sign * tasks);
+  private noteLosses(changes: readonly OwnerChange[]): void {
+    for (const { machine, before, after } of changes)
+      if (before && before.host !== after?.host)
+        this.losses.note(before.host, machine, this.stampOf(keys.domain(before.host)));
+    // Not before a whole reading is in: what left a domain while it was read was never seen here.
+    for (const host of this.domains.keys())
+      this.losses.begin(host, this.stampOf(keys.domain(host)));
   }
 }
 
-function add(sums: Map<string, Amount>, spec: JobSpec, tasks: number): void {
-  const sum = sums.get(spec.owner);
-  sums.set(spec.owner, {
-    cpus: (sum?.cpus ?? 0) + tasks * spec.cpus,
-    cards: (sum?.cards ?? 0) + tasks * spec.cards,
-  });
-}
-
-function bounded(set: Set<string>, name: string): void {
-  set.add(name);
-  if (set.size > REMOVED_KEPT) set.delete(set.values().next().value ?? '');
-}
-
-function sameRuns(one: Runs | undefined, two: Runs): boolean {
-  if (!one) return false;
-  const boxes = Object.keys(two);
-  if (Object.keys(one).length !== boxes.length) return false;
-  return boxes.every((box) => samePairs(one[box], two[box]));
-}
-
-function samePairs(a: number[] | undefined, b: number[] | undefined): boolean {
-  if (a === b) return true;
-  return a?.length === b?.length && a?.every((value, at) => value === b?.[at]) === true;
-}
-
-/** Whether the two states of a job want its tasks to go on or stop in another way. */
-function wantsOthers(one: StoredJob, two: StoredJob): boolean {
-  return (
-    one.cancelled !== two.cancelled ||
-    one.gangDone !== two.gangDone ||
-    one.gangBroken !== two.gangBroken ||
-    !samePairs(one.stop ?? [], two.stop ?? [])
-  );
-}
-
-/** The inner map of that name, made when it is first asked for. */
-function within<T>(maps: Map<string, Map<string, T>>, name: string): Map<string, T> {
-  let map = maps.get(name);
-  if (!map) maps.set(name, (map = new Map()));
-  return map;
-}
-
-function assign<T>(map: Map<string, T>, name: string, value: T | null): void {
-  if (value === null) map.delete(name);
-  else map.set(name, value);
-}
+const inner = <T>(maps: Map<string, Map<string, T>>, name: string): Map<string, T> =>
+  getOrAdd(maps, name, () => new Map<string, T>());
--- a/src/store/watcher.ts
+++ b/src/store/watcher.ts
@@ -1,10 +1,25 @@
 import { sleep, within, type Clock } from '../clock.js';
 import type { Log } from '../log.js';
+import type { Metrics } from '../metrics.js';
 import { NoAnswer } from '../wire/client.js';
 import type { StoreClient } from './client.js';
 import { PREFIX } from './records.js';
 import type { State } from './state.js';
 
+/** What a full reading consists of; final states are asked for one by one. */
+const READ_KINDS = [
+  'dom/',
+  'fleet',
+  'job/',
+  'list/',
+  'live/',
+  'lot/',
+  'new',
+  'own/',
+  'run/',
+  'term',
+];
+
 /** A question whether the replica is current that no request has left for yet. */
 interface Asked {
   proof: Promise<boolean>;
@@ -25,40 +40,50 @@
     private readonly log: Log,
     /** `gapMs`: the least time between two watches, and between two proofs that users wait for. */
     private readonly figures: { blockMs: number; pauseMs: number; gapMs: number },
+    private readonly metrics: Metrics,
   ) {}
 
+  /** Reads all records and takes them up; until that has succeeded, what is held stays as it is. */
   async load(): Promise<void> {
+    try {
+      await this.readAll();
+      this.metrics.readings.inc('done');
+    } catch (error) {
+      this.metrics.readings.inc('failed');
+      throw error;
+    }
+  }
+
+  private async readAll(): Promise<void> {
     const asOf = this.clock.now();
-    const kinds = [
-      'dom/',
-      'fleet',
-      'job/',
-      'list/',
-      'live/',
-      'lot/',
-      'new',
-      'own/',
-      'run/',
-      'term',
-    ];
-    const read = [];
-    for (const kind of kinds) read.push(await this.store.list(PREFIX + kind));
-    const generation = Math.min(...read.map((part) => part.generation));
-    // The parts are of different moments: a job of one and the stays of a later one, put together, may
-    // show a task done that is waiting again. What came in between is taken up in the same step.
-    const between = this.clock.now();
-    const changes = await this.store.changes(PREFIX, generation, 0);
-    if (!changes) throw new NoAnswer('too many changes while reading');
-    this.state.replica.load(
-      read.flatMap((part) => part.items),
-      generation,
-      asOf,
-      changes,
-      between,
-    );
+    const parts = [];
+    for (const kind of READ_KINDS) parts.push(await this.store.list(PREFIX + kind));
+    const generation = Math.min(...parts.map((part) => part.generation));
+    const items = parts.flatMap((part) => part.items);
+    // The parts are of different moments: a job of one and the allocations of a later one, put together, may
+    // show a task done that is waiting again. What came in between is taken up in the same step. A watch that
+    // was answered meanwhile may have brought the replica further: then the changes are asked for once more.
+    for (;;) {
+      const between = this.clock.now();
+      const changes = await this.store.changes(PREFIX, generation, 0);
+      if (!changes) throw new NoAnswer('too many changes while reading');
+      if (this.state.replica.load(items, asOf, changes, between)) break;
+    }
     this.loaded = true;
   }
 
+  /** Reads everything anew beside the watch; false if that failed. */
+  async reread(): Promise<boolean> {
+    try {
+      await this.load();
+      return true;
+    } catch (error) {
+      if (!(error instanceof NoAnswer)) throw error;
+      this.log.info({ err: error.message }, 'full reading failed');
+      return false;
+    }
+  }
+
   /** Follows the watch until stopped. */
   async run(): Promise<void> {
     while (!this.stopped) {
--- /dev/null
+++ b/test/integrity.test.ts
@@ -0,0 +1,171 @@
+/** Each invariant that is watched at run time is shown a violation, and what must stand still then does. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { pino } from 'pino';
+import { newJob } from '../src/jobs/life.js';
+import type { Body } from '../src/wire/codec.js';
+import { keys, storeHead, storeJob, type MachineRecord } from '../src/store/records.js';
+import { State } from '../src/store/state.js';
+import type { OwnershipIndex, Owner } from '../src/store/ownership-index.js';
+import { integrityOf, type Watched } from './stand/integrity.js';
+import { JOB } from './stand/world.js';
+
+const TEAMS = new Map(
+  ['red', 'blue'].map((team) => [team, { cpus: 0, cards: 0, cpusMax: 8, cardsMax: 0 }]),
+);
+const part = (cpus: number): Record<string, { cpus: number; cards: number }> => ({
+  red: { cpus, cards: 0 },
+});
+
+/** Two domains, three machines, one task of two CPUs: all is well. */
+const RECORDS: Record<string, Body> = {
+  [keys.domain('a')]: storeHead({ inc: 1, term: 1, quota: part(6) }),
+  [keys.domain('b')]: storeHead({ inc: 1, term: 1, quota: part(2) }),
+  [keys.own('a', 0)]: { 1: ['i-1', 'i-2'] },
+  [keys.own('b', 0)]: { 1: ['i-3'] },
+  [keys.lot('r-1')]: {
+    f: 'plain',
+    s: 'x',
+    r: false,
+    at: 0,
+    b: { 'i-1': 'x:1', 'i-2': '', 'i-3': '' },
+  },
+  [keys.job('j-1')]: storeJob(newJob({ ...JOB, tasks: 9, cpus: 2 }, 0)),
+  [keys.run('a', 0)]: { 'j-1': { 'i-1': [0, 1] } },
+};
+
+function stateOf(changed: Record<string, Body> = {}): State {
+  const state = new State(() => undefined);
+  const items = Object.entries({ ...RECORDS, ...changed }).map(([key, value]) => ({
+    key,
+    value,
+    stamp: 1,
+  }));
+  state.replica.load(items, 0, { generation: 1, events: [] }, 0);
+  return state;
+}
+
+/** What was logged as an error, by message. */
+function watchedOf(state: State): Watched & { logged: [Record<string, unknown>, string][] } {
+  const logged: [Record<string, unknown>, string][] = [];
+  const log = pino({ level: 'silent' });
+  log.error = (...line: unknown[]) => logged.push(line as [Record<string, unknown>, string]);
+  return Object.assign(integrityOf(state, TEAMS, log), { logged });
+}
+
+void test('integrity: sound records and indexes stop nothing', () => {
+  const { integrity, logged } = watchedOf(stateOf());
+  integrity.check();
+  assert.deepEqual(logged, []);
+  assert.ok(integrity.isSound && integrity.mayPlace('red', 'a'));
+  assert.ok(integrity.mayDeal('red') && integrity.mayLend('a'));
+});
+
+const VIOLATIONS: {
+  name: string;
+  changed: Record<string, Body>;
+  rule: string;
+  stops: 'all' | 'nothing';
+}[] = [
+  {
+    name: 'more in use than the part of the domain',
+    changed: { [keys.run('a', 0)]: { 'j-1': { 'i-1': [0, 1, 1, 1, 2, 1, 3, 1] } } },
+    rule: 'use over part',
+    stops: 'all',
+  },
+  {
+    name: 'tasks on a machine without an owner',
+    changed: { [keys.run('a', 0)]: { 'j-1': { 'i-9': [0, 1] } } },
+    rule: 'no owner',
+    stops: 'all',
+  },
+  // Also what a lowered limit leads to: what is dealt beyond it counts against every domain by itself.
+  {
+    name: 'parts that add up to more than the limit',
+    changed: { [keys.domain('b')]: storeHead({ inc: 1, term: 1, quota: part(3) }) },
+    rule: 'parts over limit',
+    stops: 'nothing',
+  },
+];
+
+for (const { name, changed, rule, stops } of VIOLATIONS)
+  void test(`integrity: ${name} is logged, counted and stops ${stops}`, async () => {
+    const { integrity, logged, metrics } = watchedOf(stateOf(changed));
+    integrity.check();
+    assert.deepEqual(
+      logged.map(([facts]) => facts['rule']),
+      [rule],
+    );
+    assert.ok((await metrics.text()).text.includes(`violations_total{rule="${rule}"} 1`));
+    assert.equal(integrity.mayPlace('red', 'a'), stops === 'nothing');
+    assert.equal(integrity.mayDeal('red'), stops === 'nothing');
+    assert.ok(integrity.mayDeal('blue'), 'others go on');
+  });
+
+interface Indexes {
+  ownership: OwnershipIndex;
+  machineIndex: { machines: Map<string, MachineRecord> };
+  allocations: {
+    jobsOn: Map<string, Set<string>>;
+    usageByHost: Map<string, Map<string, { cpus: number; cards: number }>>;
+  };
+}
+
+/** Each index is made to say something else than the records. */
+const DIFFERENCES: { index: string; tamper: (indexes: Indexes) => void }[] = [
+  {
+    index: 'owners',
+    tamper: ({ ownership }) => {
+      (ownership.all() as Map<string, Owner>).delete('i-1');
+    },
+  },
+  { index: 'machines', tamper: ({ machineIndex }) => machineIndex.machines.delete('i-2') },
+  { index: 'allocations', tamper: ({ allocations }) => allocations.jobsOn.delete('i-1') },
+  {
+    index: 'usage',
+    tamper: ({ allocations }) =>
+      allocations.usageByHost.get('a')?.set('red', { cpus: 0, cards: 0 }),
+  },
+];
+
+for (const { index, tamper } of DIFFERENCES)
+  void test(`integrity: an index of ${index} that differs stops all, and has the replica read anew`, async () => {
+    const state = stateOf();
+    tamper(state as unknown as Indexes);
+    const watched = watchedOf(state);
+    const { integrity, logged, metrics } = watched;
+    integrity.check();
+    assert.equal(integrity.isSound, false);
+    assert.equal(
+      integrity.mayPlace('red', 'a') || integrity.mayDeal('blue') || integrity.mayLend('b'),
+      false,
+    );
+    assert.equal(watched.rereads, 1);
+    const [[facts, message] = []] = logged;
+    assert.equal(message, 'index differs from the records: replica is read anew');
+    assert.equal(facts?.['index'], index);
+    assert.equal(facts['generation'], 1);
+    assert.ok((await metrics.text()).text.includes(`index_differences_total{index="${index}"}`));
+  });
+
+void test('integrity: an index that differed is made anew from the records, and all goes on', async () => {
+  const state = stateOf();
+  for (const { tamper } of DIFFERENCES) tamper(state as unknown as Indexes);
+  const { integrity, logged } = watchedOf(state);
+  integrity.tick();
+  assert.equal(integrity.isSound, false);
+  await new Promise(setImmediate);
+  logged.length = 0;
+  integrity.tick();
+  assert.deepEqual(logged, []);
+  assert.ok(integrity.isSound && integrity.mayPlace('red', 'a'));
+  assert.equal(state.ownerOf('i-1')?.host, 'a');
+  assert.deepEqual(state.usedOn('a').get('red'), { cpus: 2, cards: 0 });
+  assert.deepEqual(
+    [...(state.domains.get('a')?.m ?? [])],
+    [
+      ['i-1', 1],
+      ['i-2', 1],
+    ],
+  );
+});
--- /dev/null
+++ b/test/stand/integrity.ts
@@ -0,0 +1,33 @@
+/** The watch over a state's invariants, put together for tests. */
+import { pino } from 'pino';
+import { Integrity } from '../../src/domain/integrity.js';
+import type { Log } from '../../src/log.js';
+import { Metrics } from '../../src/metrics.js';
+import type { TeamShare } from '../../src/placement/plan.js';
+import type { State } from '../../src/store/state.js';
+import { VirtualTime } from './time.js';
+
+export interface Watched {
+  integrity: Integrity;
+  metrics: Metrics;
+  time: VirtualTime;
+  /** Times that the replica was to be read anew. */
+  rereads: number;
+}
+
+export function integrityOf(
+  state: State,
+  teams: ReadonlyMap<string, TeamShare>,
+  log: Log = pino({ level: 'silent' }),
+): Watched {
+  const time = new VirtualTime();
+  const metrics = new Metrics();
+  const watched: Watched = { integrity: null as unknown as Integrity, metrics, time, rereads: 0 };
+  const clock = time.clockOf(() => true, 1, 0);
+  const reread = (): Promise<boolean> => {
+    watched.rereads++;
+    return Promise.resolve(true);
+  };
+  watched.integrity = new Integrity({ everyMs: 1000 }, teams, state, clock, log, metrics, reread);
+  return watched;
+}
