--- a/test/malformed-records.test.ts
+++ b/test/malformed-records.test.ts
@@ -92,6 +92,11 @@
   for (let index = 0; index < 4; index++) world.user({ expect_s: 2 });
   await world.time.runUntil(40_000);
   assert.equal(world.checker.starts.length, 0);
+  const found = new Set(world.recordsBroken.map(({ rule, what }) => `${rule}: ${what}`));
+  assert.deepEqual(
+    [...found].sort(),
+    ['a', 'b', 'c'].map((host) => `index: ${host}: malformed record`),
+  );
   write({ delete: keys.own('zz', 0) });
   await world.time.runUntil(80_000);
   assert.equal(world.finals.size, 4);
