--- a/src/controller.ts
+++ b/src/controller.ts
@@ -129,7 +129,7 @@
       this.metrics,
     );
     this.integrity = new Integrity(
-      { everyMs: leaseMs / 4 },
+      { everyMs: leaseMs / 4, repeatMs: leaseMs },
       teams,
       this.state,
       clock,
--- a/src/domain/integrity.ts
+++ b/src/domain/integrity.ts
@@ -16,6 +16,8 @@
 export interface IntegrityOptions {
   /** The whole check is made this often, in milliseconds, or less often if it takes long. */
   everyMs: number;
+  /** A finding that stays is logged and counted again after this time, in milliseconds. */
+  repeatMs: number;
 }
 
 /** A broken invariant of the limits, with the record that shows it. */
@@ -42,6 +44,8 @@
   private isSuspect = false;
   /** Records that ownership and use follow from cannot be read. */
   private isVitalMissing = false;
+  /** Finding -> when it was last logged. */
+  private readonly loggedAt = new Map<string, number>();
   /** Teams with tasks recorded on machines that no domain holds. */
   private unowned = new Set<string>();
 
@@ -96,6 +100,7 @@
       violations.filter(({ rule }) => rule === 'no owner').map(({ team }) => team),
     );
     for (const { rule, key, team, allowed, found } of violations) {
+      if (!this.isDue(`${rule} ${key} ${team}`)) continue;
       this.metrics.violations.inc(rule);
       const facts = { rule, key, stamp: this.state.stampOf(key), ...this.moment() };
       this.log.error({ ...facts, team, allowed, found }, 'limit violated by the records');
@@ -108,6 +113,7 @@
     const wasMissing = this.isVitalMissing;
     this.isVitalMissing = records.some(({ isVital }) => isVital);
     for (const { key, kind, isVital } of records) {
+      if (!this.isDue(`malformed ${key}`)) continue;
       this.metrics.violations.inc('malformed record');
       const stamp = this.state.stampOf(key);
       this.log.error({ key, kind, stamp, isVital, ...this.moment() }, 'stored record is malformed');
@@ -127,11 +133,22 @@
         'index differs from the records: replica is read anew',
       );
     for (const machine of this.state.listedTwice())
-      this.log.error({ machine, ...this.moment() }, 'machine listed by two domains');
+      if (this.isDue(`twice ${machine}`))
+        this.log.error({ machine, ...this.moment() }, 'machine listed by two domains');
     if (this.isSuspect) void this.recover();
     else if (wasSuspect) this.log.info(this.moment(), 'index equals the records again');
   }
 
+  /** Whether a finding is new, or was last logged long ago; those that are gone are forgotten in time. */
+  private isDue(finding: string): boolean {
+    const now = this.clock.now();
+    for (const [other, at] of this.loggedAt)
+      if (now - at >= this.options.repeatMs) this.loggedAt.delete(other);
+    if (this.loggedAt.has(finding)) return false;
+    this.loggedAt.set(finding, now);
+    return true;
+  }
+
   private async recover(): Promise<void> {
     await this.reread();
     this.state.rebuild();
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -57,7 +57,7 @@
   );
   readonly violations = new Tally<string>(
     'tackvane_limit_violations_total',
-    'Findings, one per check, that records of limits do not add up.',
+    'Findings that records do not add up or cannot be read; one that stays counts once in a lease.',
     'rule',
   );
   readonly readings = new Tally<'done' | 'failed'>(
--- a/test/integrity.test.ts
+++ b/test/integrity.test.ts
@@ -169,3 +169,15 @@
     ],
   );
 });
+
+void test('integrity: a finding that stays is logged once in a while, and not at each look', async () => {
+  const changed = { [keys.run('a', 0)]: { 'j-1': { 'i-9': [0, 1] } } };
+  const { integrity, logged, time } = watchedOf(stateOf(changed));
+  for (let look = 0; look < 10; look++) {
+    integrity.check();
+    integrity.noteMalformed();
+    await time.runUntil(time.now + 1000);
+  }
+  assert.equal(logged.length, 3, 'at 0, 4 and 8 s');
+  assert.equal(integrity.mayPlace('red', 'a'), false);
+});
--- a/test/stand/integrity.ts
+++ b/test/stand/integrity.ts
@@ -28,6 +28,14 @@
     watched.rereads++;
     return Promise.resolve(true);
   };
-  watched.integrity = new Integrity({ everyMs: 1000 }, teams, state, clock, log, metrics, reread);
+  watched.integrity = new Integrity(
+    { everyMs: 1000, repeatMs: 4000 },
+    teams,
+    state,
+    clock,
+    log,
+    metrics,
+    reread,
+  );
   return watched;
 }
