--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -228,12 +228,7 @@
     };
     const hadUnread = this.unread.size > 0;
     for (const [key, before] of changed)
-      this.sort(
-        batch,
-        key,
-        this.unread.asTakenUp(key, before),
-        this.unread.examine(key, this.replica.get(key)?.value ?? null),
-      );
+      this.sort(batch, key, before, this.unread.examine(key, this.replica.get(key)?.value ?? null));
     this.takeHeads(batch.heads);
     const terms = new Map([...batch.heads].map(([host, head]) => [host, head?.t ?? 0]));
     const owners = this.ownership.update(terms, batch.shards);
@@ -260,7 +255,8 @@
         break;
       case 'own': {
         const shard = after as ShardRecord | null;
-        batch.shards.push({ host: name, key, before: before as ShardRecord | null, after: shard });
+        const earlier = this.unread.asTakenUp(key, before) as ShardRecord | null;
+        batch.shards.push({ host: name, key, before: earlier, after: shard });
         setOrDelete(inner(this.shards, name), key, shard);
         break;
       }
