--- a/test/soak/cluster.ts
+++ b/test/soak/cluster.ts
@@ -59,6 +59,12 @@
   reportRelay: 9200,
 };
 
+/**
+ * A worker's stand-in looks at its lease every 100 ms, and this program may be late on a busy machine. Controllers allow a
+ * quarter of a report for a lapse, so the stand-ins' leases end this much early rather than late, in milliseconds.
+ */
+const LAPSE_EARLY_MS = 150;
+
 /** Events kept, to show what went before a violation. */
 const EVENTS_KEPT = 60;
 
@@ -290,7 +296,7 @@
       checker: this.checker,
       hosts: [...HOSTS],
       reportMs: LIMITS.reportS * 1000,
-      leaseMs: LIMITS.leaseS * 1000,
+      leaseMs: LIMITS.leaseS * 1000 - LAPSE_EARLY_MS,
       gangWaitMs: LIMITS.gangWaitS * 1000,
       gangPeerMs: LIMITS.gangPeerS * 1000,
       flavors: new Map(FLAVORS.map((one) => [one.sku, one])),
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -43,7 +43,13 @@
   const cluster = new Cluster(seed, program, folder, network);
   let events: readonly string[] = [];
   const watch = setInterval(() => {
-    if (events.length === 0 && cluster.findings().length > 0) events = cluster.lastEvents();
+    if (events.length > 0 || cluster.findings().length === 0) return;
+    const machines = [...cluster.workers].map(([id, { hung }]) => (hung ? `${id} (hung)` : id));
+    events = [
+      ...cluster.lastEvents(),
+      `machines up: ${machines.join(', ')}`,
+      ...cluster.checker.occupying().map((allocation) => `holds room: ${allocation}`),
+    ];
   }, 50);
   try {
     await cluster.start();
--- a/test/stand/checker.ts
+++ b/test/stand/checker.ts
@@ -135,6 +135,11 @@
     else this.over.delete(team);
   }
 
+  /** What holds room on machines now, for a reader of a finding. */
+  occupying(): string[] {
+    return [...this.occupied.keys()].sort();
+  }
+
   /** The task holds no room on that machine any more. */
   vacated(box: string, uid: string, task: number, attempt: number): void {
     this.occupied.delete(`${box} ${uid}/${String(task)}#${String(attempt)}`);
--- a/test/stand/worker.ts
+++ b/test/stand/worker.ts
@@ -90,6 +90,7 @@
 
   resume(): void {
     this.hung = false;
+    if (this.dead) this.held.length = 0;
     if (this.world.time.now - this.leaseFrom > this.world.leaseMs) this.lapse();
     for (const work of this.held.splice(0)) work();
   }
--- /dev/null
+++ b/test/worker-stand.test.ts
@@ -0,0 +1,47 @@
+/** The stand-in of a worker itself: what it must not do, or findings would be its own. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Checker } from './stand/checker.js';
+import { Chance, VirtualTime } from './stand/time.js';
+import { JOB } from './stand/users.js';
+import { WorkerStand } from './stand/worker.js';
+
+// Deleted while it hung, a machine took up the commands that had been held for it once it was to go on.
+void test('worker stand-in: a machine that has ended while it hung executes nothing that was held', async () => {
+  const time = new VirtualTime();
+  const checker = new Checker({
+    teams: new Map([['red', { cpus: 8, cards: 0 }]]),
+    cancelMs: 30_000,
+  });
+  const worker = new WorkerStand(
+    'i-1',
+    { flavor: 'plain', site: 'x', reclaimable: false },
+    {
+      time,
+      chance: new Chance(1),
+      checker,
+      hosts: ['a'],
+      reportMs: 1000,
+      leaseMs: 10_000,
+      gangWaitMs: 20_000,
+      gangPeerMs: 4000,
+      flavors: new Map([['plain', { cpus: 8, cards: 0, memory_gb: 64 }]]),
+      spec: () => JOB,
+      done: () => undefined,
+      gangs: new Map(),
+      call: () => () => new Promise(() => undefined),
+      addressOf: (machine) => `${machine}:9000`,
+    },
+  );
+  checker.submitted('j-1', JOB);
+  worker.hung = true;
+  const orders = [{ verb: 'launch', task: 'j-1/0', try: 1 }];
+  const call = { method: 'POST' as const, path: '/commands', timeoutMs: 1000 };
+  void worker.handle({ ...call, body: { epoch: 1, tenure: 1, orders } });
+  await time.runUntil(1000);
+  worker.die();
+  worker.resume();
+  await time.runUntil(2000);
+  assert.deepEqual(worker.launches, []);
+  assert.deepEqual(checker.occupying(), []);
+});
