--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -129,7 +129,7 @@
   private cancel(uid: string, job: JobRecord): Promise<Outcome | null> {
     const key = keys.job(uid);
     return this.commit({
-      guards: [{ key, stamp: this.state.stampOf(key) }],
+      guards: [this.state.guard(key)],
       apply: [{ put: key, value: storeJob({ ...job, cancelled: true }) }],
     });
   }
@@ -154,10 +154,7 @@
     const end = job ? endOf(job) : null;
     if (!end || !this.isSound()) return null;
     return {
-      guards: [
-        { key: keys.job(uid), stamp: this.state.stampOf(keys.job(uid)) },
-        { key: keys.end(uid), stamp: 0 },
-      ],
+      guards: [this.state.guard(keys.job(uid)), { key: keys.end(uid), stamp: 0 }],
       apply: [{ delete: keys.job(uid) }, { put: keys.end(uid), value: asBody(end) }],
     };
   }
--- a/src/store/malformed-records.ts
+++ b/src/store/malformed-records.ts
@@ -17,18 +17,9 @@
 
   /** The record that is under a key now, or null if there is none that can be read; notes which it is. */
   examine(key: string, value: Body | null): Body | null {
-    const fault = this.faultOf(key, value);
+    const fault = value ? malformed(key, keyParts(key).kind, value) : null;
     // Final states are not held: one that cannot be read is found to be so when it is asked for.
     if (fault?.kind !== 'end') setOrDelete(this.records, key, fault);
     return fault ? null : value;
   }
-
-  /** An earlier value of a key as it was taken up then. */
-  asTakenUp(key: string, before: Body | null): Body | null {
-    return this.faultOf(key, before) ? null : before;
-  }
-
-  private faultOf(key: string, value: Body | null): MalformedRecord | null {
-    return value ? malformed(key, keyParts(key).kind, value) : null;
-  }
 }
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -6,8 +6,8 @@
   stamp: number;
 }
 
-/** Keys that have changed since the last call, with the values they had then; null: no record. */
-export type ChangedRecords = ReadonlyMap<string, Body | null>;
+/** Keys that have changed since the last call. */
+export type ChangedKeys = ReadonlySet<string>;
 
 /** What the last change of a key left behind; a null value: it was deleted. */
 interface Final {
@@ -29,11 +29,11 @@
   private readonly entries = new Map<string, Entry>();
   /** Own deletions ahead of `generation`, so that an older put cannot bring the key back. */
   private readonly removed = new Map<string, number>();
-  private readonly changed = new Map<string, Body | null>();
+  private readonly changed = new Set<string>();
 
   constructor(
     /** Told once all changes that belong together are in. */
-    private readonly onWhole: (changed: ChangedRecords) => void,
+    private readonly onWhole: (changed: ChangedKeys) => void,
     /** Records of these keys are told of and not kept: there is one for each job that ever ended. */
     private readonly passes: (key: string) => boolean = () => false,
   ) {}
@@ -102,27 +102,21 @@
     if (value === null) {
       if (this.stampOf(key) <= stamp) this.drop(key);
     } else if (this.stampOf(key) < stamp && (this.removed.get(key) ?? 0) < stamp) {
-      this.remember(key);
+      this.changed.add(key);
       this.entries.set(key, { value, stamp });
     }
   }
 
   private drop(key: string): void {
-    if (!this.entries.has(key)) return;
-    this.remember(key);
-    this.entries.delete(key);
-  }
-
-  private remember(key: string): void {
-    if (!this.changed.has(key)) this.changed.set(key, this.entries.get(key)?.value ?? null);
+    if (this.entries.delete(key)) this.changed.add(key);
   }
 
   private tell(): void {
     if (this.changed.size === 0) return;
-    const changed = new Map(this.changed);
+    const changed = new Set(this.changed);
     this.changed.clear();
     this.onWhole(changed);
-    for (const key of changed.keys()) if (this.passes(key)) this.entries.delete(key);
+    for (const key of changed) if (this.passes(key)) this.entries.delete(key);
   }
 }
 
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -38,7 +38,7 @@
 import { RunParts } from './run-parts.js';
 import { MalformedRecords } from './malformed-records.js';
 import type { MalformedRecord } from './record-schemas.js';
-import { Replica, type ChangedRecords } from './replica.js';
+import { Replica, type ChangedKeys } from './replica.js';
 
 /** What has changed since the state was last whole. */
 export interface Changed {
@@ -131,8 +131,8 @@
     this.machineIndex = new MachineIndex();
     this.allocations = this.newAllocations();
     this.domains.clear();
-    const keysHeld = [...this.replica.keys()];
-    this.onChange(this.takeUp(new Map(keysHeld.map((key) => [key, null]))));
+    this.shards.clear();
+    this.onChange(this.takeUp(new Set(this.replica.keys())));
   }
 
   private newAllocations(): AllocationIndex {
@@ -217,7 +217,7 @@
     return sums;
   }
 
-  private takeUp(changed: ChangedRecords): Changed {
+  private takeUp(changed: ChangedKeys): Changed {
     const batch: Batch = {
       heads: new Map(),
       shards: [],
@@ -227,8 +227,8 @@
       isHostChange: false,
     };
     const hadUnread = this.unread.size > 0;
-    for (const [key, before] of changed)
-      this.sort(batch, key, before, this.unread.examine(key, this.replica.get(key)?.value ?? null));
+    for (const key of changed)
+      this.sort(batch, key, this.unread.examine(key, this.replica.get(key)?.value ?? null));
     this.takeHeads(batch.heads);
     const terms = new Map([...batch.heads].map(([host, head]) => [host, head?.t ?? 0]));
     const owners = this.ownership.update(terms, batch.shards);
@@ -246,7 +246,7 @@
   }
 
   /** Files a changed record by its kind; those that nothing else depends on are taken up at once. */
-  private sort(batch: Batch, key: string, before: Body | null, after: Body | null): void {
+  private sort(batch: Batch, key: string, after: Body | null): void {
     const { kind, name, part } = keyParts(key);
     switch (kind) {
       case 'dom':
@@ -255,9 +255,9 @@
         break;
       case 'own': {
         const shard = after as ShardRecord | null;
-        const earlier = this.unread.asTakenUp(key, before) as ShardRecord | null;
-        batch.shards.push({ host: name, key, before: earlier, after: shard });
-        setOrDelete(inner(this.shards, name), key, shard);
+        const shards = inner(this.shards, name);
+        batch.shards.push({ host: name, key, before: shards.get(key) ?? null, after: shard });
+        setOrDelete(shards, key, shard);
         break;
       }
       case 'lot':
--- a/test/soak/cluster.ts
+++ b/test/soak/cluster.ts
@@ -51,8 +51,6 @@
 const PORTS = {
   users: 8080,
   mesh: 8081,
-  store: 2379,
-  cloud: 8443,
   worker: 9000,
   workerBehindRelay: 9001,
   meshRelay: 9100,
@@ -144,7 +142,6 @@
   }
 
   async start(): Promise<void> {
-    await this.serve(this.ip(2), PORTS.store, () => ({ status: 404, body: {} }));
     for (const [index, host] of HOSTS.entries()) await this.wire(host, index);
     this.cloud.begin(MACHINES);
     for (const host of HOSTS) this.controllers.start(host);
--- a/test/stand/fault-schedule.ts
+++ b/test/stand/fault-schedule.ts
@@ -139,15 +139,19 @@
     at(world, fault.atS, () => {
       begin(world, fault);
     });
-  world.checker.troublesOver = OVER_S * 1000;
-  await world.time.runUntil(END_S * 1000);
+  const findings = await playOut(world, OVER_S, END_S);
+  const unserved = world.checker.unserved().map((name) => `unserved: ${name}`);
+  return { ...findings, broken: [...findings.broken, ...unserved] };
+}
+
+/** Plays a day whose troubles are laid out to its end, and gathers what it broke. */
+export async function playOut(world: World, overS: number, endS: number): Promise<Findings> {
+  world.checker.troublesOver = overS * 1000;
+  await world.time.runUntil(endS * 1000);
   world.checker.finish();
   for (const host of world.hosts()) world.kill(host, 1e9);
   return {
-    broken: [
-      ...world.checker.broken,
-      ...world.checker.unserved().map((name) => `unserved: ${name}`),
-    ],
+    broken: [...world.checker.broken],
     records: world.recordsBroken.map(
       ({ rule, what, at: when }) => `${rule} at ${String(when)}: ${what}`,
     ),
--- a/test/stand/slow-readings.ts
+++ b/test/stand/slow-readings.ts
@@ -3,7 +3,7 @@
  * seconds, and machines move between small domains meanwhile, as teams are at their limits.
  */
 import type { JobSpec } from '../../src/store/records.js';
-import type { Findings } from './fault-schedule.js';
+import { playOut, type Findings } from './fault-schedule.js';
 import { at } from './troubles.js';
 import { World, type Size } from './world.js';
 
@@ -56,18 +56,7 @@
   submitWork(world);
   slowDown(world);
   roll(world, rollEveryS);
-  world.checker.troublesOver = SLOW_UNTIL_S * 1000;
-  await world.time.runUntil(END_S * 1000);
-  world.checker.finish();
-  for (const host of world.hosts()) world.kill(host, 1e9);
-  return {
-    broken: [...world.checker.broken],
-    records: world.recordsBroken.map(
-      ({ rule, what, at: when }) => `${rule} at ${String(when)}: ${what}`,
-    ),
-    starts: world.checker.starts.length,
-    finals: world.finals.size,
-  };
+  return playOut(world, SLOW_UNTIL_S, END_S);
 }
 
 /** Both teams have more to do than their limits let them. */
--- a/test/stand/store.ts
+++ b/test/stand/store.ts
@@ -246,7 +246,7 @@
   private async changesLater(url: URL, from: string): Promise<Answer> {
     const answer = await this.changes(url, from);
     const delayMs = this.watchDelayMs.get(from) ?? 0;
-    if (delayMs > 0) await new Promise<void>((done) => this.time.after(delayMs, done));
+    if (delayMs > 0) await this.wait(delayMs);
     return answer;
   }
 
