Bound a plan by what one transaction can record, and place tasks in linear time

Cause: a plan placed all tasks for which there was room, the machine's list of allocations was copied for each of them, and the result, far larger than a transaction, was thrown away and its half tried again.

Evidence: processor profiles of the three controllers: 54 to 59 of 79 to 86 s in addAllocation, 19 to 21 s in the garbage collections that it causes; the plan itself took 0.03 s.

A job leaves at least as much of it as it takes, so that those behind it get their part. Tasks that are placed one by one are bounded by the candidates that they examine. Lists of allocations are changed once per call, and compared by sets. The tasks added to one machine are split over several stored values where one does not hold them.

--- a/src/controller/components.ts
+++ b/src/controller/components.ts
@@ -5,6 +5,7 @@
 import { Provisioner } from '../fleet/provisioner.js';
 import { JobApi } from '../jobs/api.js';
 import { Peers } from '../mesh/peers.js';
+import { passLimits } from '../placement/pass-limits.js';
 import { Placer } from '../placement/placer.js';
 import { RateLimiter } from '../store/rate-limiter.js';
 import { keys } from '../store/records/index.js';
@@ -166,9 +167,8 @@
   return new Placer(
     {
       self: settings.controller,
-      maxWrites: stateService.maxWrites,
-      writesPerSecond: stateService.writesPerSecond,
-      maxValueBytes: stateService.maxValueBytes,
+      limits: passLimits(stateService),
+      maxPreemptedTasks: stateService.maxWrites,
       enforcesGuarantees: serviceLevelObjectives.some(({ kind }) => kind === 'guarantee'),
       controllerZones: new Set([settings.zone, ...settings.peers.map(({ zone }) => zone)]),
       propagationMs: timing.propagationMs,
--- a/src/fleet/rental-plan.ts
+++ b/src/fleet/rental-plan.ts
@@ -8,7 +8,7 @@
 import { plan } from '../placement/plan.js';
 import { priorityIndex } from '../placement/priority.js';
 import type { Candidate, JobEntry, Snapshot } from '../placement/types.js';
-import { addTask, countTasksByZone, maxTasksPerZone } from '../placement/zones.js';
+import { addTasks, countTasksByZone, maxTasksPerZone } from '../placement/zones.js';
 import { getOrAdd } from '../util/maps.js';
 import { cheapestOffer, taskPrices, type OfferContext, type TaskPrices } from './offers.js';
 
@@ -134,7 +134,7 @@
   private demandOf(job: JobRecord, missingTasks: number): Demand {
     const { spec } = job;
     const maxPerZone = maxTasksPerZone(spec);
-    const tasksByZone = countTasksByZone(this.snapshot, job, []);
+    const tasksByZone = countTasksByZone(this.snapshot, job);
     return {
       spec,
       missingTasks,
@@ -204,7 +204,7 @@
     reserveResources(spec, candidate.free);
     used.cpus += spec.cpus;
     used.gpus += spec.gpus;
-    addTask(tasksByZone, candidate.zone);
+    addTasks(tasksByZone, candidate.zone);
     demand.missingTasks--;
     demand.sharedTasks--;
   }
--- a/src/model/allocations.ts
+++ b/src/model/allocations.ts
@@ -9,7 +9,7 @@
 export type PackedAllocations = number[];
 
 /** List entries per allocation: the task and the attempt. */
-const NUMBERS_PER_ALLOCATION = 2;
+export const NUMBERS_PER_ALLOCATION = 2;
 
 /** Number of tasks of a job recorded on a machine, each of which may be running there. */
 export function allocatedTasksOn(job: JobRecord, machineId: string): number {
@@ -22,6 +22,11 @@
   return allocations.length / NUMBERS_PER_ALLOCATION;
 }
 
+/** Bytes of one allocation in the JSON form of a list: its two numbers, each with a comma. */
+export function allocationBytes(task: number, attempt: number): number {
+  return String(task).length + String(attempt).length + NUMBERS_PER_ALLOCATION;
+}
+
 /** Calls `visit` with the task and the attempt of each allocation, in list order. */
 export function forEachAllocation(
   allocations: PackedAllocations,
@@ -42,14 +47,44 @@
   return false;
 }
 
+/** Larger than any task number, so that a task and an attempt combine to one number. */
+const TASK_NUMBER_RANGE = 2 ** 17;
+/** Length of lists up to which searching them is faster than making a set. */
+const MAX_SEARCHED_LENGTH = 32;
+
+/** A set of allocations of one job on one machine. */
+export class AllocationSet {
+  private readonly members = new Set<number>();
+
+  constructor(allocations: PackedAllocations = []) {
+    forEachAllocation(allocations, (task, attempt) => {
+      this.add(task, attempt);
+    });
+  }
+
+  add(task: number, attempt: number): void {
+    this.members.add(attempt * TASK_NUMBER_RANGE + task);
+  }
+
+  has(task: number, attempt: number): boolean {
+    return this.members.has(attempt * TASK_NUMBER_RANGE + task);
+  }
+
+  /** Removes an allocation; returns false if it is not in the set. */
+  delete(task: number, attempt: number): boolean {
+    return this.members.delete(attempt * TASK_NUMBER_RANGE + task);
+  }
+}
+
 /** The allocations of the first list that are not in the second. */
 export function subtractAllocations(
   allocations: PackedAllocations,
   removed: PackedAllocations,
 ): PackedAllocations {
+  const isRemoved = membershipOf(removed);
   const remaining: PackedAllocations = [];
   forEachAllocation(allocations, (task, attempt) => {
-    if (!hasAllocation(removed, task, attempt)) remaining.push(task, attempt);
+    if (!isRemoved(task, attempt)) remaining.push(task, attempt);
   });
   return remaining;
 }
@@ -59,13 +94,22 @@
   allocations: PackedAllocations,
   kept: PackedAllocations,
 ): PackedAllocations {
+  const isKept = membershipOf(kept);
   const common: PackedAllocations = [];
   forEachAllocation(allocations, (task, attempt) => {
-    if (hasAllocation(kept, task, attempt)) common.push(task, attempt);
+    if (isKept(task, attempt)) common.push(task, attempt);
   });
   return common;
 }
 
+/** A test of whether an allocation is in a list, in constant time however long the list is. */
+function membershipOf(allocations: PackedAllocations): (task: number, attempt: number) => boolean {
+  if (allocations.length <= MAX_SEARCHED_LENGTH)
+    return (task, attempt) => hasAllocation(allocations, task, attempt);
+  const members = new AllocationSet(allocations);
+  return (task, attempt) => members.has(task, attempt);
+}
+
 /** The allocations of the first list followed by those of the second. */
 export function concatAllocations(
   first: PackedAllocations,
--- a/src/model/job-lifecycle.ts
+++ b/src/model/job-lifecycle.ts
@@ -1,6 +1,13 @@
 /** The life of a job from submission to its final state. Pure functions on records, without access to the store. */
+import { getOrAdd } from '../util/maps.js';
 import { without } from '../util/records.js';
-import { allocationCount, forEachAllocation } from './allocations.js';
+import {
+  allocationCount,
+  AllocationSet,
+  concatAllocations,
+  forEachAllocation,
+  type PackedAllocations,
+} from './allocations.js';
 import type { FinalState, JobRecord, JobSpec } from './job.js';
 
 /** One attempt of a task, and the machine on which it may be running. */
@@ -92,7 +99,7 @@
   const next = copyForUpdate(job);
   next.lastAttempt++;
   if (job.spec.kind === 'gang') resetGang(next);
-  for (const machine of machines) addAllocation(next, machine, takeWaitingTask(next));
+  addAllocations(next, machines);
   return next;
 }
 
@@ -122,9 +129,9 @@
   retryDelayMs: number,
 ): JobRecord {
   const next = copyForUpdate(job);
-  for (const { allocation, outcome } of outcomes) {
-    if (!removeAllocation(next, allocation)) continue;
-    removePreemption(next, allocation.task);
+  const ended = removeAllocations(next, outcomes);
+  removePreemptions(next, ended);
+  for (const { allocation, outcome } of ended) {
     if (outcome === 'failed') recordFailure(next, allocation.machine, wallClock, retryDelayMs);
     if (outcome === 'completed') clearFailures(next);
     applyOutcome(next, allocation.task, outcome);
@@ -155,30 +162,57 @@
   return Object.keys(job.allocationsByMachine).length === 0;
 }
 
-function takeWaitingTask(job: JobRecord): number {
-  return job.requeuedTasks.shift() ?? job.firstUnplacedTask++;
+/** Allocates one waiting task under the last attempt number for each entry of `machines`. */
+function addAllocations(job: JobRecord, machines: readonly string[]): void {
+  const tasks = takeWaitingTasks(job, machines.length);
+  const added = new Map<string, PackedAllocations>();
+  for (const [index, machine] of machines.entries())
+    getOrAdd(added, machine, () => []).push(tasks[index] ?? 0, job.lastAttempt);
+  for (const [machine, allocations] of added) {
+    const others = job.allocationsByMachine[machine] ?? [];
+    job.allocationsByMachine[machine] = concatAllocations(others, allocations);
+  }
 }
 
-function addAllocation(job: JobRecord, machine: string, task: number): void {
-  const pairs = job.allocationsByMachine[machine] ?? [];
-  job.allocationsByMachine[machine] = [...pairs, task, job.lastAttempt];
+/** Removes tasks from those that wait: first tasks to run again, then tasks that were never placed. */
+function takeWaitingTasks(job: JobRecord, count: number): number[] {
+  const tasks = job.requeuedTasks.slice(0, count);
+  job.requeuedTasks = job.requeuedTasks.slice(count);
+  while (tasks.length < count) tasks.push(job.firstUnplacedTask++);
+  return tasks;
 }
 
-/** Removes an allocation; returns false and changes nothing if it is not recorded. */
-function removeAllocation(job: JobRecord, { machine, task, attempt }: Allocation): boolean {
-  const pairs = job.allocationsByMachine[machine] ?? [];
-  const at = pairs.findIndex(
-    (value, index) => index % 2 === 0 && value === task && pairs[index + 1] === attempt,
+/** Removes the allocations of these outcomes; returns the outcomes whose allocations were recorded. */
+function removeAllocations(
+  job: JobRecord,
+  outcomes: readonly AllocationOutcome[],
+): AllocationOutcome[] {
+  const remaining = new Map<string, AllocationSet>();
+  const ended = outcomes.filter(({ allocation: { machine, task, attempt } }) =>
+    getOrAdd(remaining, machine, () => new AllocationSet(job.allocationsByMachine[machine])).delete(
+      task,
+      attempt,
+    ),
   );
-  if (at < 0) return false;
-  const remaining = [...pairs.slice(0, at), ...pairs.slice(at + 2)];
+  for (const machine of new Set(ended.map(({ allocation }) => allocation.machine)))
+    keepAllocations(job, machine, remaining.get(machine) ?? new AllocationSet());
+  return ended;
+}
+
+/** Removes the allocations on a machine that are not in `kept`. */
+function keepAllocations(job: JobRecord, machine: string, kept: AllocationSet): void {
+  const remaining: PackedAllocations = [];
+  forEachAllocation(job.allocationsByMachine[machine] ?? [], (task, attempt) => {
+    if (kept.has(task, attempt)) remaining.push(task, attempt);
+  });
   if (remaining.length > 0) job.allocationsByMachine[machine] = remaining;
   else job.allocationsByMachine = without(job.allocationsByMachine, machine);
-  return true;
 }
 
-function removePreemption(job: JobRecord, task: number): void {
-  const remaining = job.preemptedTasks?.filter((preempted) => preempted !== task) ?? [];
+function removePreemptions(job: JobRecord, ended: readonly AllocationOutcome[]): void {
+  if (!job.preemptedTasks) return;
+  const endedTasks = new Set(ended.map(({ allocation }) => allocation.task));
+  const remaining = job.preemptedTasks.filter((task) => !endedTasks.has(task));
   if (remaining.length > 0) job.preemptedTasks = remaining;
   else delete job.preemptedTasks;
 }
--- a/src/placement/candidate-choice.ts
+++ b/src/placement/candidate-choice.ts
@@ -10,9 +10,10 @@
 import { RESOURCE_EPSILON } from '../model/resources.js';
 import { compareNames } from '../util/order.js';
 import { isWithinLimit, isWithinQuota, recordShortfall } from './quota.js';
+import type { QueuedJob } from './queued-job.js';
 import { isLexicographicallyLess } from './sort-key.js';
 import type { Candidate, Snapshot } from './types.js';
-import { addTask, countTasksByZone, maxTasksPerZone } from './zones.js';
+import { addTasks, maxTasksPerZone } from './zones.js';
 
 /** Chooses machines for one job after another and reserves their resources in the candidates. */
 export class CandidateChooser {
@@ -26,25 +27,25 @@
   ) {}
 
   /**
-   * Returns one machine for the next tasks of an array (repeated for as many tasks as it holds, up to `waiting`), one
+   * Returns one machine for the next tasks of an array (repeated for as many tasks as it holds, up to `maxTasks`), one
    * machine for the next replica of a service, or the machines for all tasks of a gang; null if there are none.
-   * `placedOn` lists the machines already chosen for this job.
    */
-  choose(job: JobRecord, placedOn: readonly string[], waiting: number): string[] | null {
+  choose(queued: QueuedJob, maxTasks: number): string[] | null {
     const { snapshot } = this;
+    const { job } = queued;
     const { spec } = job;
     const tasks = spec.kind === 'gang' ? spec.tasks : 1;
     if (!isWithinLimit(snapshot, spec, tasks)) return null;
     const eligible = this.eligibleCandidates(job);
     if (eligible.length === 0) return null;
     if (!isWithinQuota(snapshot, spec, tasks)) {
-      recordShortfall(snapshot, spec, waiting);
+      recordShortfall(snapshot, spec, queued.waiting);
       return null;
     }
-    const tasksByZone = countTasksByZone(snapshot, job, placedOn);
+    const tasksByZone = queued.zoneCounts(snapshot);
     for (const group of groupByZone(spec, eligible, tasksByZone)) {
       const chosen = this.placeTasks(spec, group, tasksByZone, tasks);
-      if (chosen) return this.completeChoice(spec, chosen, waiting);
+      if (chosen) return this.completeChoice(spec, chosen, maxTasks);
     }
     return null;
   }
@@ -78,7 +79,7 @@
       }
       reserveResources(spec, best.free);
       chosen.push(best);
-      addTask(plannedByZone, best.zone);
+      addTasks(plannedByZone, best.zone);
     }
     return chosen;
   }
@@ -123,14 +124,14 @@
     key[5] = -candidate.free.cpus / Math.max(candidate.capacity.cpus, RESOURCE_EPSILON);
   }
 
-  private completeChoice(spec: JobSpec, chosen: readonly Candidate[], waiting: number): string[] {
+  private completeChoice(spec: JobSpec, chosen: readonly Candidate[], maxTasks: number): string[] {
     // Tasks of an array or gang share one image pull on each machine. For a service the image is not counted as cached
     // yet: that would attract further replicas to the same machine.
     if (spec.kind !== 'service')
       for (const candidate of chosen) candidate.images = new Set([...candidate.images, spec.image]);
     const machineIds = chosen.map((candidate) => candidate.id);
     const [first] = chosen;
-    if (spec.kind === 'array' && first) this.addArrayTasks(spec, first, waiting, machineIds);
+    if (spec.kind === 'array' && first) this.addArrayTasks(spec, first, maxTasks, machineIds);
     return machineIds;
   }
 
@@ -141,11 +142,11 @@
   private addArrayTasks(
     spec: JobSpec,
     candidate: Candidate,
-    waiting: number,
+    maxTasks: number,
     machineIds: string[],
   ): void {
     while (
-      machineIds.length < waiting &&
+      machineIds.length < maxTasks &&
       !spec.spreadAcrossZones &&
       fits(spec, candidate.free) &&
       isWithinLimit(this.snapshot, spec, machineIds.length + 1) &&
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -6,7 +6,7 @@
 import type { Proposal } from '../store/commit-loop.js';
 import type { State } from '../store/state.js';
 import { TransactionBuilder } from '../store/transaction-builder.js';
-import { MAX_TRANSACTION_BYTES } from '../store/transaction-limits.js';
+import { maxNewAllocationBytes, type TransactionLimits } from '../store/transaction-limits.js';
 import { compareNames } from '../util/order.js';
 import type { WorkerManager } from '../workers/manager.js';
 import type { CandidateCache } from './candidates.js';
@@ -20,24 +20,14 @@
 import type { Candidate, JobEntry, Placement, Snapshot } from './types.js';
 import type { QueueUsage } from './usage.js';
 
-/**
- * Largest transaction, as a fraction of the writes that the state service accepts per second. A transaction that needs
- * all of them is refused whenever another controller writes.
- */
-const MAX_FRACTION_OF_WRITES_PER_SECOND = 0.6;
-/** Smallest limit on a transaction's writes: two jobs, each with the two allocation records that it may change. */
-const MIN_WRITES = 6;
-
 /** Limits of the state service, and the cluster's typical reaction times. */
 export interface PlacementPassOptions {
   /** Name of this controller's host. */
   self: string;
-  /** Writes that the state service accepts in one transaction. */
-  maxWrites: number;
-  /** Writes per second that the state service accepts. */
-  writesPerSecond: number;
-  /** Size limit of one stored value, in bytes. */
-  maxValueBytes: number;
+  /** Limits of one pass's transaction. */
+  limits: TransactionLimits;
+  /** Maximum number of tasks that one pass preempts. */
+  maxPreemptedTasks: number;
   /** How long a change usually takes to reach every controller, in milliseconds. */
   propagationMs: number;
   /** How long it usually takes to stop tasks and start others in their place, in milliseconds. */
@@ -93,7 +83,7 @@
     if (candidates.length === 0 || jobs.length === 0)
       return areOutcomesDue ? this.commit(transaction, outcomesRecorded, 0) : null;
 
-    const snapshot = snapshots.create(candidates, jobs);
+    const snapshot = snapshots.create(candidates, jobs, maxNewAllocationBytes(this.options.limits));
     snapshot.remainingQuota = domainManager.quota.remaining();
     const placements = plan(snapshot);
     const placedTasks = this.addPlacements(transaction, placements);
@@ -112,13 +102,8 @@
   }
 
   private newTransaction(): TransactionBuilder {
-    const { self, maxWrites, writesPerSecond, maxValueBytes } = this.options;
-    const writesPerPass = Math.floor(writesPerSecond * MAX_FRACTION_OF_WRITES_PER_SECOND);
-    const transaction = new TransactionBuilder(this.dependencies.state, self, {
-      maxWrites: Math.min(maxWrites, Math.max(MIN_WRITES, writesPerPass)),
-      maxValueBytes,
-      maxBytes: MAX_TRANSACTION_BYTES,
-    });
+    const { self, limits } = this.options;
+    const transaction = new TransactionBuilder(this.dependencies.state, self, limits);
     transaction.require(this.dependencies.domainManager.ownershipCondition());
     return transaction;
   }
@@ -182,7 +167,12 @@
       (machineId) => state.jobsByMachine.get(machineId) ?? [],
       (jobId) => transaction.job(jobId),
     );
-    const preempted = selectPreemptions(snapshot, preempting, running, this.options.maxWrites);
+    const preempted = selectPreemptions(
+      snapshot,
+      preempting,
+      running,
+      this.options.maxPreemptedTasks,
+    );
     for (const { jobId, task } of preempted) {
       const job = transaction.job(jobId);
       if (!job) continue;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -1,10 +1,11 @@
 /** Planning: assigns waiting tasks to machines. A pure function of a snapshot. */
 import { fits, isAllowedOn, reserveResources } from '../model/fit.js';
-import { waitingCount } from '../model/job-lifecycle.js';
 import { RESOURCE_EPSILON } from '../model/resources.js';
 import { CandidateChooser } from './candidate-choice.js';
 import { compareJobs, isAgedArray, oldestAgedArray, urgencyOf } from './job-order.js';
+import { PlanBudget } from './plan-budget.js';
 import { PRIORITIES, priorityIndex } from './priority.js';
+import { QueuedJob } from './queued-job.js';
 import { addUsage, fairShareOf, reserveQuota } from './quota.js';
 import { isLexicographicallyLess } from './sort-key.js';
 import type { Candidate, JobEntry, Placement, Snapshot } from './types.js';
@@ -20,11 +21,6 @@
   return new Planner(snapshot).run();
 }
 
-/** A job in its team's queue, with its number of waiting tasks. */
-interface QueuedJob extends JobEntry {
-  waiting: number;
-}
-
 interface TeamQueue {
   team: string;
   queue: QueuedJob[];
@@ -38,7 +34,8 @@
   private readonly candidates: Candidate[];
   private readonly chooser: CandidateChooser;
   private readonly queues = new Map<string, QueuedJob[]>();
-  private readonly machinesByJob = new Map<string, string[]>();
+  private readonly placed = new Set<QueuedJob>();
+  private readonly budget: PlanBudget;
 
   constructor(private readonly snapshot: Snapshot) {
     const waiting = waitingJobs(snapshot);
@@ -49,6 +46,7 @@
       (candidate) => candidate.free.cpus > smallestCpus - RESOURCE_EPSILON,
     );
     this.chooser = new CandidateChooser(snapshot, this.candidates);
+    this.budget = new PlanBudget(snapshot.maxAllocationBytes ?? Infinity, this.candidates.length);
     for (const entry of waiting) {
       const queue = this.queues.get(entry.job.spec.team);
       if (queue) queue.push(entry);
@@ -63,7 +61,7 @@
       if (!next || !head) break;
       if (!this.placeNextTasks(head)) next.queue.shift();
     }
-    return [...this.machinesByJob].map(([jobId, machineIds]) => ({ jobId, machineIds }));
+    return [...this.placed].map(({ jobId, machineIds }) => ({ jobId, machineIds }));
   }
 
   /** 1 for the job that is placed before all priorities, 0 for any other. */
@@ -96,17 +94,18 @@
 
   /** Places the next tasks of the job at the head of a queue; false if no more of it is placed in this plan. */
   private placeNextTasks(head: QueuedJob): boolean {
+    const maxTasks = this.budget.tasksFor(head);
+    if (maxTasks === 0) return false;
     const placesOneTask = isAgedArray(this.snapshot, head);
-    const waiting = placesOneTask ? 1 : head.waiting;
-    const placedOn = this.machinesByJob.get(head.jobId) ?? [];
-    const machineIds = this.chooser.choose(head.job, placedOn, waiting);
+    const machineIds = this.chooser.choose(head, placesOneTask ? 1 : maxTasks);
     if (!machineIds) {
       this.reserveFor(head);
       return false;
     }
     addUsage(this.snapshot, head.job.spec, machineIds.length);
-    this.machinesByJob.set(head.jobId, [...placedOn, ...machineIds]);
-    head.waiting -= machineIds.length;
+    this.placed.add(head);
+    this.budget.take(head, machineIds.length);
+    head.place(machineIds, this.snapshot);
     return head.waiting > 0 && !placesOneTask;
   }
 
@@ -130,7 +129,7 @@
 /** Jobs with waiting tasks that may be placed now. */
 function waitingJobs(snapshot: Snapshot): QueuedJob[] {
   return snapshot.jobs
-    .map(({ jobId, job }) => ({ jobId, job, waiting: waitingCount(job) }))
+    .map(({ jobId, job }) => new QueuedJob(jobId, job))
     .filter(({ job, waiting }) => waiting > 0 && (job.notBefore ?? 0) <= snapshot.wallClockMs);
 }
 
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -16,7 +16,7 @@
 import type { PreemptedTask, RunningTask, RunningTasks } from './running-tasks.js';
 import { isLexicographicallyLess } from './sort-key.js';
 import type { Candidate, JobEntry, Snapshot } from './types.js';
-import { addTask, countTasksByZone } from './zones.js';
+import { addTasks, countTasksByZone } from './zones.js';
 
 /**
  * Selects at most `maxTasks` tasks to stop for jobs that were not placed. Higher priorities preempt lower ones, and a
@@ -87,7 +87,7 @@
   private makeRoomForJob(job: JobRecord): boolean {
     // Zones in which the job may run no further task are excluded: stopping tasks there would not let it start, and
     // would be repeated without end.
-    const tasksByZone = countTasksByZone(this.snapshot, job, []);
+    const tasksByZone = countTasksByZone(this.snapshot, job);
     for (let waiting = waitingCount(job); waiting > 0; waiting--) {
       // Nothing is stopped either if this domain's part of the team's limit would still keep the task from starting.
       const isWithinTeamLimit = isWithinLimit(this.snapshot, job.spec, 1);
@@ -114,7 +114,7 @@
     if (!option) return false;
     this.applyOption(job, option);
     this.preempted.push(...ownTasks, ...option.toStop.map(({ task }) => task));
-    addTask(tasksByZone, option.candidate.zone);
+    addTasks(tasksByZone, option.candidate.zone);
     addUsage(this.snapshot, job.spec, 1);
     return true;
   }
--- a/src/placement/snapshot.ts
+++ b/src/placement/snapshot.ts
@@ -38,8 +38,8 @@
     private readonly dependencies: SnapshotDependencies,
   ) {}
 
-  /** A snapshot of the current state with these candidates and jobs. */
-  create(candidates: Candidate[], jobs: JobEntry[]): Snapshot {
+  /** A snapshot of the current state with these candidates and jobs; `maxAllocationBytes` bounds the plan. */
+  create(candidates: Candidate[], jobs: JobEntry[], maxAllocationBytes = Infinity): Snapshot {
     const { state, teams, usage, clock } = this.dependencies;
     const { controllerZones, enforcesGuarantees, agedMs, deadlineMultiples } = this.options;
     const cpuOnlyTypes = this.cpuOnlyTypes();
@@ -50,6 +50,7 @@
       deadlineCpus: usage.deadlineCpus,
       candidates,
       jobs,
+      maxAllocationBytes,
       teams,
       usageByTeam: copyUsage(state.usageByTeam),
       zoneOf: (machineId) => state.machines.get(machineId)?.zone ?? '',
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -30,6 +30,8 @@
   candidates: Candidate[];
   /** Jobs to place; jobs without waiting tasks are ignored. */
   jobs: JobEntry[];
+  /** Bytes of the allocations that the plan may make: as many as one transaction can record. If absent, any number. */
+  maxAllocationBytes?: number | undefined;
   /** Quotas by team. */
   teams: ReadonlyMap<string, TeamQuota>;
   /** What each team's tasks use on the whole fleet, including tasks whose outcome is unknown. */
--- a/src/placement/zones.ts
+++ b/src/placement/zones.ts
@@ -1,23 +1,19 @@
 /** Zone affinity and topology spread of a job's tasks. */
-import { allocationsOf } from '../model/job-lifecycle.js';
+import { allocationCount } from '../model/allocations.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import type { Snapshot } from './types.js';
 
-/** Number of the job's tasks in each zone: those recorded on machines, and those being placed on `placedOn`. */
-export function countTasksByZone(
-  snapshot: Snapshot,
-  job: JobRecord,
-  placedOn: Iterable<string>,
-): Map<string, number> {
+/** Number of the job's tasks in each zone that are recorded on machines. */
+export function countTasksByZone(snapshot: Snapshot, job: JobRecord): Map<string, number> {
   const tasksByZone = new Map<string, number>();
-  for (const { machine } of allocationsOf(job)) addTask(tasksByZone, snapshot.zoneOf(machine));
-  for (const machineId of placedOn) addTask(tasksByZone, snapshot.zoneOf(machineId));
+  for (const [machineId, allocations] of Object.entries(job.allocationsByMachine))
+    addTasks(tasksByZone, snapshot.zoneOf(machineId), allocationCount(allocations));
   return tasksByZone;
 }
 
-/** Counts one more task in a zone. */
-export function addTask(tasksByZone: Map<string, number>, zone: string): void {
-  tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + 1);
+/** Counts more tasks in a zone. */
+export function addTasks(tasksByZone: Map<string, number>, zone: string, tasks = 1): void {
+  tasksByZone.set(zone, (tasksByZone.get(zone) ?? 0) + tasks);
 }
 
 /** How many tasks of the job one zone may hold. */
--- a/src/store/allocation-writer.ts
+++ b/src/store/allocation-writer.ts
@@ -1,8 +1,11 @@
 /** Writes changes of allocations to the partitions that store them. */
 import {
+  allocationBytes,
   concatAllocations,
+  forEachAllocation,
   intersectAllocations,
   machinesOfEither,
+  NUMBERS_PER_ALLOCATION,
   subtractAllocations,
   type PackedAllocations,
 } from '../model/allocations.js';
@@ -131,38 +134,68 @@
     const namesJob = (key: string): boolean => jobId in this.partition(key, step);
     const candidates = this.ownPartitionKeys();
     const inOrder = [...candidates.filter(namesJob), ...candidates.filter((key) => !namesJob(key))];
-    let next = 0;
+    let left = additions;
     for (const key of inOrder) {
-      next = this.fill(key, jobId, { additions, next }, step);
-      if (next === additions.length) return this.putHeadIfLarge(step);
+      left = this.fill(key, jobId, left, step);
+      if (left.length === 0) return this.putHeadIfLarge(step);
     }
     return false;
   }
 
   /**
-   * Adds as many of the additions, starting at index `next`, as a partition has room for. Returns the index of the
-   * first one that was not added.
+   * Adds as many of the additions as a partition has room for, and returns the others. Only an addition that is too
+   * large for an empty partition is split.
    */
   private fill(
     key: string,
     jobId: string,
-    { additions, next }: { additions: readonly Addition[]; next: number },
+    additions: readonly Addition[],
     step: TransactionStep,
-  ): number {
-    let roomBytes = this.limits.maxValueBytes * VALUE_FILL_RATIO - this.bytesOfPartition(key, step);
-    if (!(jobId in this.partition(key, step))) roomBytes -= jobId.length + PUNCTUATION_BYTES;
-    let index = next;
-    for (; index < additions.length; index++) {
-      const addition = additions[index];
-      if (!addition) break;
+  ): readonly Addition[] {
+    const maxBytes = this.limits.maxValueBytes * VALUE_FILL_RATIO;
+    const jobBytes = jobId.length + PUNCTUATION_BYTES;
+    let roomBytes = maxBytes - this.bytesOfPartition(key, step);
+    if (!(jobId in this.partition(key, step))) roomBytes -= jobBytes;
+    for (const [index, addition] of additions.entries()) {
       const { machineId, allocations } = addition;
-      roomBytes -= bytesOf(machineId) + bytesOf(allocations) + PUNCTUATION_BYTES;
-      if (roomBytes < 0) break;
-      const partition = this.edit(key, step);
-      const others = partition[jobId]?.[machineId] ?? [];
-      setAllocations(partition, jobId, machineId, concatAllocations(others, allocations));
+      const machineBytes = bytesOf(machineId) + PUNCTUATION_BYTES;
+      const bytes = machineBytes + bytesOf(allocations);
+      if (bytes > roomBytes) {
+        const rest = additions.slice(index);
+        if (bytes <= maxBytes - jobBytes) return rest;
+        return this.fillPart(key, jobId, rest, { roomBytes: roomBytes - machineBytes, step });
+      }
+      roomBytes -= bytes;
+      this.append(key, jobId, addition, step);
     }
-    return index;
+    return [];
+  }
+
+  /** Adds as much of the first addition as fits into the room, and returns its rest and the others. */
+  private fillPart(
+    key: string,
+    jobId: string,
+    [first, ...others]: readonly Addition[],
+    { roomBytes, step }: { roomBytes: number; step: TransactionStep },
+  ): readonly Addition[] {
+    if (!first) return others;
+    const { machineId, allocations } = first;
+    const fittingLength = fittingPrefixLength(allocations, roomBytes);
+    if (fittingLength > 0)
+      this.append(
+        key,
+        jobId,
+        { machineId, allocations: allocations.slice(0, fittingLength) },
+        step,
+      );
+    return [{ machineId, allocations: allocations.slice(fittingLength) }, ...others];
+  }
+
+  private append(key: string, jobId: string, addition: Addition, step: TransactionStep): void {
+    const { machineId, allocations } = addition;
+    const partition = this.edit(key, step);
+    const others = partition[jobId]?.[machineId] ?? [];
+    setAllocations(partition, jobId, machineId, concatAllocations(others, allocations));
   }
 
   /**
@@ -213,6 +246,17 @@
   }
 }
 
+/** Length of the longest beginning of a list of allocations whose JSON form has at most this many bytes. */
+function fittingPrefixLength(allocations: PackedAllocations, maxBytes: number): number {
+  let bytes = 0;
+  let length = 0;
+  forEachAllocation(allocations, (task, attempt) => {
+    bytes += allocationBytes(task, attempt);
+    if (bytes <= maxBytes) length += NUMBERS_PER_ALLOCATION;
+  });
+  return length;
+}
+
 /** Replaces a job's allocations on a machine in a partition that is being edited. */
 function setAllocations(
   partition: AllocationRecord,
--- a/src/store/transaction-limits.ts
+++ b/src/store/transaction-limits.ts
@@ -18,3 +18,12 @@
 
 /** Records are filled up to this fraction of the maximum value size. */
 export const VALUE_FILL_RATIO = 0.9;
+
+/** Bytes of all allocations that one transaction can add at most, beside one write for the job. */
+export function maxNewAllocationBytes({
+  maxWrites,
+  maxValueBytes,
+  maxBytes,
+}: TransactionLimits): number {
+  return Math.min(maxBytes, (maxWrites - 1) * maxValueBytes * VALUE_FILL_RATIO);
+}
