Bound the tasks on a machine by the size of its worker's heartbeats

Cause: a heartbeat lists all tasks of a machine and may have 64 KiB; larger ones are refused with 413. Nothing bounded the tasks placed on a machine.

Change: the room in the heartbeats is a part of what a task takes of a machine, beside CPUs, GPUs and memory; tasks that the worker still reports after their end count too. An array or service leaves at least as much of it as it takes, so that it cannot keep other jobs off a machine that has room for them. Machines are not rented for arrays that only want such room.

Result: the cases of test/large-array-life.test.ts failed before ("the array has ended": leases ended until the end of the test) and pass now, with no heartbeat over 64 KiB (the fake worker refuses to send one), no lease ended and the other team's service started once.

--- a/src/fleet/provisioner.ts
+++ b/src/fleet/provisioner.ts
@@ -131,6 +131,7 @@
     if (!this.options.rent || !fleet || fleet.requests.length > 0) return;
     if (this.machineTypes.size === 0) return;
     const snapshot = placer.snapshots.create(this.candidates(), placer.waitingJobs());
+    snapshot.ignoresHeartbeatsOfArrays = true;
     const { offers, neededMachines } = planRentals(snapshot, {
       machineTypes: this.machineTypes,
       refusedOffers: this.requests.refusedOffers(),
--- a/src/fleet/rental-plan.ts
+++ b/src/fleet/rental-plan.ts
@@ -3,10 +3,12 @@
 import { waitingCount } from '../model/job-lifecycle.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import type { MachineType, RentalOffer } from '../model/machine.js';
-import { RESOURCE_EPSILON, type ResourceAmount } from '../model/resources.js';
+import { RESOURCE_EPSILON, type MachineRoom, type ResourceAmount } from '../model/resources.js';
 import type { TeamQuota } from '../model/team.js';
+import { MAX_REPORTED_TASKS_BYTES } from '../protocol/heartbeat-size.js';
 import { plan } from '../placement/plan.js';
 import { priorityIndex } from '../placement/priority.js';
+import { sizeOfTask } from '../placement/task-size.js';
 import type { Candidate, JobEntry, Snapshot } from '../placement/types.js';
 import { addTasks, countTasksByZone, maxTasksPerZone } from '../placement/zones.js';
 import { getOrAdd } from '../util/maps.js';
@@ -54,6 +56,8 @@
 /** The state of planning machines for one job. */
 interface Demand {
   spec: JobSpec;
+  /** What each task takes of a machine. */
+  size: Readonly<MachineRoom>;
   /** Tasks of the job that still lack machines. */
   missingTasks: number;
   /** Tasks of all jobs that lack machines and could run on the same machines as those of this job. */
@@ -108,7 +112,7 @@
       this.tasksWithinLimit(job, quota, used),
     );
     if (missingTasks <= 0) return;
-    const demand = this.demandOf(job, missingTasks);
+    const demand = this.demandOf({ jobId, job }, missingTasks);
     while (demand.missingTasks > 0) {
       const candidate = this.plannedMachineFor(demand) ?? this.rentFor(demand);
       if (!candidate) return;
@@ -131,12 +135,13 @@
     );
   }
 
-  private demandOf(job: JobRecord, missingTasks: number): Demand {
+  private demandOf({ jobId, job }: JobEntry, missingTasks: number): Demand {
     const { spec } = job;
     const maxPerZone = maxTasksPerZone(spec);
     const tasksByZone = countTasksByZone(this.snapshot, job);
     return {
       spec,
+      size: sizeOfTask(jobId, spec, this.snapshot),
       missingTasks,
       sharedTasks: this.sharedTasksFor(spec),
       tasksByZone,
@@ -168,7 +173,7 @@
     for (; demand.nextPlanned < this.planned.length; demand.nextPlanned++) {
       const candidate = this.planned[demand.nextPlanned];
       if (!candidate || !demand.offerContext.isAllowed(candidate)) continue;
-      if (fits(demand.spec, candidate.free)) return candidate;
+      if (fits(demand.size, candidate.free)) return candidate;
     }
     return null;
   }
@@ -190,7 +195,7 @@
       id: '',
       ...offer,
       capacity: { cpus, gpus, memoryGb },
-      free: { cpus, gpus, memoryGb },
+      free: { cpus, gpus, memoryGb, heartbeatBytes: MAX_REPORTED_TASKS_BYTES },
       images: new Set(),
     };
     this.planned.push(candidate);
@@ -200,8 +205,8 @@
   }
 
   private assignTask(demand: Demand, candidate: Candidate, used: ResourceAmount): void {
-    const { spec, tasksByZone } = demand;
-    reserveResources(spec, candidate.free);
+    const { spec, size, tasksByZone } = demand;
+    reserveResources(size, candidate.free);
     used.cpus += spec.cpus;
     used.gpus += spec.gpus;
     addTasks(tasksByZone, candidate.zone);
--- a/src/model/fit.ts
+++ b/src/model/fit.ts
@@ -1,14 +1,15 @@
 /** Whether a task fits on a machine, and the resources that it takes there: arithmetic only, no placement policy. */
 import type { JobSpec } from './job.js';
 import type { RentalOffer } from './machine.js';
-import { RESOURCE_EPSILON, type Resources } from './resources.js';
+import { RESOURCE_EPSILON, type MachineRoom, type Resources } from './resources.js';
 
-/** Whether one task of the job fits into these resources. */
-export function fits(spec: JobSpec, free: Resources): boolean {
+/** Whether one task of this size fits into the free room. A job's specification can stand for the size of its tasks. */
+export function fits(size: MachineRoom, free: MachineRoom): boolean {
   return (
-    spec.cpus <= free.cpus + RESOURCE_EPSILON &&
-    spec.gpus <= free.gpus + RESOURCE_EPSILON &&
-    spec.memoryGb <= free.memoryGb + RESOURCE_EPSILON
+    size.cpus <= free.cpus + RESOURCE_EPSILON &&
+    size.gpus <= free.gpus + RESOURCE_EPSILON &&
+    size.memoryGb <= free.memoryGb + RESOURCE_EPSILON &&
+    (size.heartbeatBytes ?? 0) <= (free.heartbeatBytes ?? Infinity)
   );
 }
 
@@ -21,18 +22,20 @@
   );
 }
 
-/** Subtracts the resources of `tasks` tasks from `free`. */
-export function reserveResources(spec: JobSpec, free: Resources, tasks = 1): void {
-  free.cpus -= spec.cpus * tasks;
-  free.gpus -= spec.gpus * tasks;
-  free.memoryGb -= spec.memoryGb * tasks;
+/** Subtracts the size of `tasks` tasks from `free`. */
+export function reserveResources(size: MachineRoom, free: MachineRoom, tasks = 1): void {
+  free.cpus -= size.cpus * tasks;
+  free.gpus -= size.gpus * tasks;
+  free.memoryGb -= size.memoryGb * tasks;
+  if (free.heartbeatBytes !== undefined) free.heartbeatBytes -= (size.heartbeatBytes ?? 0) * tasks;
 }
 
-/** Adds the resources of one task back to `free`. */
-export function releaseResources(spec: JobSpec, free: Resources): void {
-  free.cpus += spec.cpus;
-  free.gpus += spec.gpus;
-  free.memoryGb += spec.memoryGb;
+/** Adds the size of one task back to `free`. */
+export function releaseResources(size: MachineRoom, free: MachineRoom): void {
+  free.cpus += size.cpus;
+  free.gpus += size.gpus;
+  free.memoryGb += size.memoryGb;
+  if (free.heartbeatBytes !== undefined) free.heartbeatBytes += size.heartbeatBytes ?? 0;
 }
 
 /**
--- a/src/model/resources.ts
+++ b/src/model/resources.ts
@@ -11,6 +11,12 @@
   memoryGb: number;
 }
 
+/** What a task takes of a machine, or what is left there. An absent `heartbeatBytes` is not counted. */
+export interface MachineRoom extends Resources {
+  /** Bytes in the heartbeats of the machine's worker, which have a limited size. */
+  heartbeatBytes?: number | undefined;
+}
+
 /** The zero amount. */
 export const NO_RESOURCES: Readonly<ResourceAmount> = { cpus: 0, gpus: 0 };
 
--- a/src/placement/candidate-choice.ts
+++ b/src/placement/candidate-choice.ts
@@ -6,8 +6,8 @@
   reserveResources,
   suitsGpuUse,
 } from '../model/fit.js';
-import type { JobRecord, JobSpec } from '../model/job.js';
-import { RESOURCE_EPSILON } from '../model/resources.js';
+import type { JobSpec } from '../model/job.js';
+import { RESOURCE_EPSILON, type MachineRoom } from '../model/resources.js';
 import { compareNames } from '../util/order.js';
 import { isWithinLimit, isWithinQuota, recordShortfall } from './quota.js';
 import type { QueuedJob } from './queued-job.js';
@@ -36,7 +36,7 @@
     const { spec } = job;
     const tasks = spec.kind === 'gang' ? spec.tasks : 1;
     if (!isWithinLimit(snapshot, spec, tasks)) return null;
-    const eligible = this.eligibleCandidates(job);
+    const eligible = this.eligibleCandidates(queued);
     if (eligible.length === 0) return null;
     if (!isWithinQuota(snapshot, spec, tasks)) {
       recordShortfall(snapshot, spec, queued.waiting);
@@ -44,27 +44,28 @@
     }
     const tasksByZone = queued.zoneCounts(snapshot);
     for (const group of groupByZone(spec, eligible, tasksByZone)) {
-      const chosen = this.placeTasks(spec, group, tasksByZone, tasks);
-      if (chosen) return this.completeChoice(spec, chosen, maxTasks);
+      const chosen = this.placeTasks(queued, group, tasksByZone, tasks);
+      if (chosen) return this.completeChoice(queued, chosen, maxTasks);
     }
     return null;
   }
 
-  private eligibleCandidates(job: JobRecord): Candidate[] {
-    const { spec, avoidedMachines } = job;
+  private eligibleCandidates(queued: QueuedJob): Candidate[] {
+    const { spec, avoidedMachines } = queued.job;
     const avoidsGpuMachines = spec.kind === 'service' && this.snapshot.fitsWithoutGpus(spec);
     return this.candidates.filter(
       (candidate) =>
         isAllowedOn(spec, candidate) &&
         !avoidedMachines?.includes(candidate.id) &&
-        fits(spec, candidate.free) &&
+        fits(queued.size, candidate.free) &&
+        queued.leavesRoomOn(candidate) &&
         (!avoidsGpuMachines || suitsGpuUse(spec, candidate.capacity)),
     );
   }
 
   /** Reserves resources for `tasks` tasks and returns their candidates; null if not all fit, with nothing reserved. */
   private placeTasks(
-    spec: JobSpec,
+    { job: { spec }, size }: QueuedJob,
     candidates: readonly Candidate[],
     tasksByZone: ReadonlyMap<string, number>,
     tasks: number,
@@ -72,12 +73,12 @@
     const chosen: Candidate[] = [];
     const plannedByZone = new Map(tasksByZone);
     while (chosen.length < tasks) {
-      const best = this.bestCandidate(spec, candidates, plannedByZone);
+      const best = this.bestCandidate({ spec, size }, candidates, plannedByZone);
       if (!best) {
-        for (const candidate of chosen) releaseResources(spec, candidate.free);
+        for (const candidate of chosen) releaseResources(size, candidate.free);
         return null;
       }
-      reserveResources(spec, best.free);
+      reserveResources(size, best.free);
       chosen.push(best);
       addTasks(plannedByZone, best.zone);
     }
@@ -86,7 +87,7 @@
 
   /** The candidate with the lowest sort key (see `fillCandidateKey`) that fits one task and whose zone is not full. */
   private bestCandidate(
-    spec: JobSpec,
+    { spec, size }: { spec: JobSpec; size: MachineRoom },
     candidates: readonly Candidate[],
     tasksByZone: ReadonlyMap<string, number>,
   ): Candidate | null {
@@ -94,7 +95,7 @@
     let best: Candidate | null = null;
     for (const candidate of candidates) {
       const tasksInZone = tasksByZone.get(candidate.zone) ?? 0;
-      if (tasksInZone >= maxPerZone || !fits(spec, candidate.free)) continue;
+      if (tasksInZone >= maxPerZone || !fits(size, candidate.free)) continue;
       this.fillCandidateKey(spec, candidate, tasksInZone);
       if (best && !this.isBetter(candidate, best)) continue;
       best = candidate;
@@ -124,14 +125,19 @@
     key[5] = -candidate.free.cpus / Math.max(candidate.capacity.cpus, RESOURCE_EPSILON);
   }
 
-  private completeChoice(spec: JobSpec, chosen: readonly Candidate[], maxTasks: number): string[] {
+  private completeChoice(
+    queued: QueuedJob,
+    chosen: readonly Candidate[],
+    maxTasks: number,
+  ): string[] {
+    const { spec } = queued.job;
     // Tasks of an array or gang share one image pull on each machine. For a service the image is not counted as cached
     // yet: that would attract further replicas to the same machine.
     if (spec.kind !== 'service')
       for (const candidate of chosen) candidate.images = new Set([...candidate.images, spec.image]);
     const machineIds = chosen.map((candidate) => candidate.id);
     const [first] = chosen;
-    if (spec.kind === 'array' && first) this.addArrayTasks(spec, first, maxTasks, machineIds);
+    if (spec.kind === 'array' && first) this.addArrayTasks(queued, first, maxTasks, machineIds);
     return machineIds;
   }
 
@@ -140,19 +146,22 @@
    * that are to be spread across zones are chosen one by one instead.
    */
   private addArrayTasks(
-    spec: JobSpec,
+    queued: QueuedJob,
     candidate: Candidate,
     maxTasks: number,
     machineIds: string[],
   ): void {
+    const { size } = queued;
+    const { spec } = queued.job;
     while (
       machineIds.length < maxTasks &&
       !spec.spreadAcrossZones &&
-      fits(spec, candidate.free) &&
+      fits(size, candidate.free) &&
+      queued.leavesRoomOn(candidate, machineIds.length) &&
       isWithinLimit(this.snapshot, spec, machineIds.length + 1) &&
       isWithinQuota(this.snapshot, spec, machineIds.length + 1)
     ) {
-      reserveResources(spec, candidate.free);
+      reserveResources(size, candidate.free);
       machineIds.push(candidate.id);
     }
   }
--- a/src/placement/candidates.ts
+++ b/src/placement/candidates.ts
@@ -3,6 +3,7 @@
 import { allocatedTasksOn } from '../model/allocations.js';
 import { reserveResources } from '../model/fit.js';
 import type { Machine, MachineType } from '../model/machine.js';
+import { jobStatusBytes, MAX_REPORTED_TASKS_BYTES } from '../protocol/heartbeat-size.js';
 import type { State } from '../store/state.js';
 import type { TransactionBuilder } from '../store/transaction-builder.js';
 import type { WorkerManager } from '../workers/manager.js';
@@ -91,14 +92,26 @@
     machineType: MachineType,
     transaction?: TransactionBuilder,
   ): Candidate {
-    if (transaction?.changedMachines.has(machineId))
-      return this.makeCandidate(machineId, machine, machineType, transaction);
+    const candidate = transaction?.changedMachines.has(machineId)
+      ? this.makeCandidate(machineId, machine, machineType, transaction)
+      : this.cachedCandidate(machineId, machine, machineType);
+    const { heartbeatBytes = MAX_REPORTED_TASKS_BYTES } = candidate.free;
+    const unrecordedBytes = this.dependencies.workerManager.session(machineId)?.unrecordedBytes;
+    const free = { ...candidate.free, heartbeatBytes: heartbeatBytes - (unrecordedBytes ?? 0) };
+    return { ...candidate, free };
+  }
+
+  private cachedCandidate(
+    machineId: string,
+    machine: Machine,
+    machineType: MachineType,
+  ): Candidate {
     let cached = this.candidates.get(machineId);
     if (!cached) {
       cached = this.makeCandidate(machineId, machine, machineType, undefined);
       this.candidates.set(machineId, cached);
     }
-    return { ...cached, free: { ...cached.free } };
+    return cached;
   }
 
   private isUsable(machineId: string, machine: Machine): boolean {
@@ -118,10 +131,13 @@
     transaction: TransactionBuilder | undefined,
   ): Candidate {
     const { jobs, jobsByMachine } = this.dependencies.state;
-    const free = { cpus, gpus, memoryGb };
+    const free = { cpus, gpus, memoryGb, heartbeatBytes: MAX_REPORTED_TASKS_BYTES };
     const images = new Set(this.imagesByMachine.get(machineId));
     for (const jobId of jobsByMachine.get(machineId) ?? []) {
-      const job = transaction ? transaction.job(jobId) : jobs.get(jobId);
+      const recorded = jobs.get(jobId);
+      // The worker reports a task until it knows that its end is recorded, so the transaction makes no difference here.
+      if (recorded) free.heartbeatBytes -= jobStatusBytes(jobId, recorded, machineId);
+      const job = transaction ? transaction.job(jobId) : recorded;
       if (!job) continue;
       reserveResources(job.spec, free, allocatedTasksOn(job, machineId));
       images.add(job.spec.image);
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -3,6 +3,7 @@
 import type { DomainManager } from '../domain/manager.js';
 import type { Log } from '../log.js';
 import { placeTasks, waitingCount } from '../model/job-lifecycle.js';
+import { MAX_REPORTED_TASKS_BYTES } from '../protocol/heartbeat-size.js';
 import type { Proposal } from '../store/commit-loop.js';
 import type { State } from '../store/state.js';
 import { TransactionBuilder } from '../store/transaction-builder.js';
@@ -20,6 +21,9 @@
 import type { Candidate, JobEntry, Placement, Snapshot } from './types.js';
 import type { QueueUsage } from './usage.js';
 
+/** Share of a heartbeat from which on tasks that are no longer recorded take noticeable room. */
+const MANY_UNRECORDED_TASKS_SHARE = 0.125;
+
 /** Limits of the state service, and the cluster's typical reaction times. */
 export interface PlacementPassOptions {
   /** Name of this controller's host. */
@@ -87,6 +91,7 @@
     snapshot.remainingQuota = domainManager.quota.remaining();
     const placements = plan(snapshot);
     const placedTasks = this.addPlacements(transaction, placements);
+    this.replanAfterAcknowledgements(candidates);
     // From here on the candidates' free resources include those of tasks that are still stopping, so nothing more is
     // placed.
     const placed = new Set(placements.map(({ jobId }) => jobId));
@@ -202,6 +207,18 @@
     return preempting;
   }
 
+  /**
+   * Schedules another plan if workers report many tasks whose end is recorded. They drop them soon, which makes room in
+   * their heartbeats without a change of any record.
+   */
+  private replanAfterAcknowledgements(candidates: readonly Candidate[]): void {
+    const { workerManager, replanIn } = this.dependencies;
+    const manyBytes = MAX_REPORTED_TASKS_BYTES * MANY_UNRECORDED_TASKS_SHARE;
+    const areMany = ({ id }: Candidate): boolean =>
+      (workerManager.session(id)?.unrecordedBytes ?? 0) > manyBytes;
+    if (candidates.some(areMany)) replanIn(this.options.replacementMs);
+  }
+
   private reportShortfalls({ shortfalls }: Snapshot): void {
     if (!shortfalls) return;
     const { domainManager, clock, wake } = this.dependencies;
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -113,14 +113,14 @@
    * Holds back resources for a gang or service that could not be placed, because lower priorities might otherwise take
    * them forever: its part of the team's limit and, for an aged gang, the machines that could already hold its tasks.
    */
-  private reserveFor({ jobId, job, waiting }: QueuedJob): void {
+  private reserveFor({ jobId, job, size, waiting }: QueuedJob): void {
     const { spec } = job;
     if (spec.kind === 'array') return;
     if (spec.kind === 'gang' && urgencyOf(this.snapshot, jobId) === AGED) {
       const suitable = this.candidates.filter(
-        (candidate) => isAllowedOn(spec, candidate) && fits(spec, candidate.free),
+        (candidate) => isAllowedOn(spec, candidate) && fits(size, candidate.free),
       );
-      for (const candidate of suitable.slice(0, waiting)) reserveResources(spec, candidate.free);
+      for (const candidate of suitable.slice(0, waiting)) reserveResources(size, candidate.free);
     }
     reserveQuota(this.snapshot, spec, waiting, this.snapshot.usageBelowPriority(job));
   }
@@ -129,7 +129,7 @@
 /** Jobs with waiting tasks that may be placed now. */
 function waitingJobs(snapshot: Snapshot): QueuedJob[] {
   return snapshot.jobs
-    .map(({ jobId, job }) => new QueuedJob(jobId, job))
+    .map(({ jobId, job }) => new QueuedJob(jobId, job, snapshot))
     .filter(({ job, waiting }) => waiting > 0 && (job.notBefore ?? 0) <= snapshot.wallClockMs);
 }
 
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -15,6 +15,7 @@
 import { addUsage, fairShareOf, isWithinLimit, isWithinQuota, recordShortfall } from './quota.js';
 import type { PreemptedTask, RunningTask, RunningTasks } from './running-tasks.js';
 import { isLexicographicallyLess } from './sort-key.js';
+import { sizeOfTask } from './task-size.js';
 import type { Candidate, JobEntry, Snapshot } from './types.js';
 import { addTasks, countTasksByZone } from './zones.js';
 
@@ -51,9 +52,9 @@
   ) {
     for (const candidate of snapshot.candidates) {
       const tasks = running.get(candidate.id) ?? [];
-      for (const { job, isStopping } of tasks) {
+      for (const { job, size, isStopping } of tasks) {
         if (!isStopping) continue;
-        releaseResources(job.spec, candidate.free);
+        releaseResources(size, candidate.free);
         addUsage(snapshot, job.spec, -1);
       }
       this.running.set(
@@ -71,7 +72,7 @@
       if (spec.kind === 'gang' && spec.tasks > 1) continue;
       const requirements = requirementsKey(entry);
       if (withoutRoom.has(requirements)) continue;
-      if (!this.makeRoomForJob(entry.job)) withoutRoom.add(requirements);
+      if (!this.makeRoomForJob(entry)) withoutRoom.add(requirements);
     }
     return this.preempted;
   }
@@ -84,7 +85,8 @@
   }
 
   /** Makes room for the waiting tasks of a job; false if preemption cannot free enough. */
-  private makeRoomForJob(job: JobRecord): boolean {
+  private makeRoomForJob(entry: JobEntry): boolean {
+    const { job } = entry;
     // Zones in which the job may run no further task are excluded: stopping tasks there would not let it start, and
     // would be repeated without end.
     const tasksByZone = countTasksByZone(this.snapshot, job);
@@ -95,24 +97,25 @@
         recordShortfall(this.snapshot, job.spec, waiting);
         return true;
       }
-      if (!this.makeRoomForTask(job, tasksByZone, isWithinTeamLimit)) return false;
+      if (!this.makeRoomForTask(entry, tasksByZone, isWithinTeamLimit)) return false;
     }
     return true;
   }
 
   private makeRoomForTask(
-    job: JobRecord,
+    entry: JobEntry,
     tasksByZone: Map<string, number>,
     isWithinTeamLimit: boolean,
   ): boolean {
+    const { job } = entry;
     // If the team is at its limit, its own tasks of lower priorities are stopped first.
     const ownTasks = isWithinTeamLimit ? [] : this.stopOwnLowerPriorities(job);
     if (!ownTasks) return false;
     const maxToStop = this.maxTasks - this.preempted.length - ownTasks.length;
     if (maxToStop < 0) return false;
-    const option = this.cheapestOption(job, tasksByZone, maxToStop);
+    const option = this.cheapestOption(entry, tasksByZone, maxToStop);
     if (!option) return false;
-    this.applyOption(job, option);
+    this.applyOption(entry, option);
     this.preempted.push(...ownTasks, ...option.toStop.map(({ task }) => task));
     addTasks(tasksByZone, option.candidate.zone);
     addUsage(this.snapshot, job.spec, 1);
@@ -145,7 +148,7 @@
     for (const running of toStop) {
       const { machineId } = running.task;
       const candidate = candidates.get(machineId);
-      if (candidate) releaseResources(running.job.spec, candidate.free);
+      if (candidate) releaseResources(running.size, candidate.free);
       this.removeRunning(machineId, [running]);
     }
   }
@@ -155,11 +158,12 @@
    * anyway.
    */
   private cheapestOption(
-    job: JobRecord,
+    entry: JobEntry,
     tasksByZone: ReadonlyMap<string, number>,
     maxToStop: number,
   ): PreemptionOption | null {
     const { snapshot } = this;
+    const { job } = entry;
     const isGuaranteed =
       snapshot.enforcesGuarantees && fairShareOf(snapshot, job.spec.team, job.spec) <= 1;
     const avoidsGpuMachines = snapshot.fitsWithoutGpus(job.spec);
@@ -167,7 +171,7 @@
     for (const candidate of snapshot.candidates) {
       if (!isZoneOpen(job, candidate.zone, tasksByZone)) continue;
       if (!isEligible(job, candidate, avoidsGpuMachines)) continue;
-      const toStop = this.tasksToStop(job, candidate, isGuaranteed);
+      const toStop = this.tasksToStop(entry, candidate, isGuaranteed);
       if (!toStop || toStop.length > maxToStop) continue;
       const key = preemptionSortKey(job, candidate, toStop.length);
       if (!best || isLexicographicallyLess(key, best.key)) best = { candidate, toStop, key };
@@ -179,11 +183,12 @@
    * The tasks to stop on a candidate for one task of the job; null if stopping all that it may preempt is not enough.
    */
   private tasksToStop(
-    job: JobRecord,
+    { jobId, job }: JobEntry,
     candidate: Candidate,
     isGuaranteed: boolean,
   ): RunningTask[] | null {
-    if (fits(job.spec, candidate.free)) return [];
+    const size = sizeOfTask(jobId, job.spec);
+    if (fits(size, candidate.free)) return [];
     const free = { ...candidate.free };
     const toStop: RunningTask[] = [];
     const preemptible = (this.running.get(candidate.id) ?? [])
@@ -191,15 +196,15 @@
       .sort(comparePreemptionOrder);
     for (const running of preemptible) {
       toStop.push(running);
-      releaseResources(running.job.spec, free);
-      if (fits(job.spec, free)) return toStop;
+      releaseResources(running.size, free);
+      if (fits(size, free)) return toStop;
     }
     return null;
   }
 
-  private applyOption(job: JobRecord, { candidate, toStop }: PreemptionOption): void {
-    for (const running of toStop) releaseResources(running.job.spec, candidate.free);
-    reserveResources(job.spec, candidate.free);
+  private applyOption({ jobId, job }: JobEntry, { candidate, toStop }: PreemptionOption): void {
+    for (const running of toStop) releaseResources(running.size, candidate.free);
+    reserveResources(sizeOfTask(jobId, job.spec), candidate.free);
     this.removeRunning(candidate.id, toStop);
   }
 
--- a/src/placement/queued-job.ts
+++ b/src/placement/queued-job.ts
@@ -1,8 +1,11 @@
 /** A job that a plan places, with what the plan has decided for it so far. */
-import { allocationBytes } from '../model/allocations.js';
+import { allocatedTasksOn, allocationBytes } from '../model/allocations.js';
 import { waitingCount } from '../model/job-lifecycle.js';
 import type { JobRecord } from '../model/job.js';
-import type { JobEntry, Snapshot } from './types.js';
+import type { MachineRoom } from '../model/resources.js';
+import { MAX_REPORTED_TASKS_BYTES } from '../protocol/heartbeat-size.js';
+import { sizeOfTask } from './task-size.js';
+import type { Candidate, JobEntry, Snapshot } from './types.js';
 import { addTasks, countTasksByZone } from './zones.js';
 
 /** A job in its team's queue. */
@@ -13,12 +16,18 @@
   waiting: number;
   /** Bytes that one more allocation of the job takes in a record. */
   readonly allocationBytes: number;
+  /** What each of its tasks takes of a machine. */
+  readonly size: Readonly<MachineRoom>;
   private tasksByZone: Map<string, number> | null = null;
+  /** Tasks placed by this plan, by machine. */
+  private readonly placedOn = new Map<string, number>();
 
   constructor(
     readonly jobId: string,
     readonly job: JobRecord,
+    snapshot: Snapshot,
   ) {
+    this.size = sizeOfTask(jobId, job.spec, snapshot);
     this.waiting = waitingCount(job);
     this.allocationBytes = allocationBytes(job.spec.tasks - 1, job.lastAttempt + 1);
   }
@@ -39,11 +48,26 @@
     return this.tasksByZone;
   }
 
+  /**
+   * Whether a candidate may take one more task of the job beside `chosen` ones that are reserved there already. A job
+   * leaves at least as much room in the heartbeats of a machine as it takes, so that its tasks cannot keep those of
+   * other jobs out. A gang may take all, since it cannot start with a part of its tasks.
+   */
+  leavesRoomOn({ id, free }: Candidate, chosen = 0): boolean {
+    const { heartbeatBytes: bytes = 0 } = this.size;
+    const freeBytes = (free.heartbeatBytes ?? Infinity) - bytes;
+    // No job can have taken more than is left.
+    if (freeBytes >= MAX_REPORTED_TASKS_BYTES / 2 || this.job.spec.kind === 'gang') return true;
+    const tasks = allocatedTasksOn(this.job, id) + (this.placedOn.get(id) ?? 0) + chosen;
+    return (tasks + 1) * bytes <= freeBytes;
+  }
+
   /** Adds tasks placed by this plan. */
   place(machineIds: readonly string[], snapshot: Snapshot): void {
     this.waiting -= machineIds.length;
     for (const machineId of machineIds) {
       this.machineIds.push(machineId);
+      this.placedOn.set(machineId, (this.placedOn.get(machineId) ?? 0) + 1);
       if (this.tasksByZone && this.dependsOnZones)
         addTasks(this.tasksByZone, snapshot.zoneOf(machineId));
     }
--- a/src/placement/running-tasks.ts
+++ b/src/placement/running-tasks.ts
@@ -1,6 +1,8 @@
 /** Finds the tasks on the candidates that could be preempted or are already stopping. */
 import { allocationsOn, shouldRun } from '../model/job-lifecycle.js';
 import type { JobRecord } from '../model/job.js';
+import type { MachineRoom } from '../model/resources.js';
+import { sizeOfTask } from './task-size.js';
 import type { Candidate } from './types.js';
 
 /** Identifies a task on a machine that is preempted or could be. */
@@ -14,6 +16,8 @@
 export interface RunningTask {
   task: PreemptedTask;
   job: JobRecord;
+  /** What it takes of the machine. */
+  size: Readonly<MachineRoom>;
   /** Whether it is stopping already, so that its resources will become free. */
   isStopping: boolean;
 }
@@ -46,9 +50,11 @@
   job: JobRecord,
 ): void {
   const isGang = job.spec.kind === 'gang' && job.spec.tasks > 1;
+  const size = sizeOfTask(jobId, job.spec);
   for (const { task } of allocationsOn(job, machineId)) {
     const isStopping = !shouldRun(job, task);
     // Preempting one task of a gang would stop it on all its machines, so gangs are not preempted.
-    if (isStopping || !isGang) tasks.push({ task: { jobId, task, machineId }, job, isStopping });
+    if (isStopping || !isGang)
+      tasks.push({ task: { jobId, task, machineId }, job, size, isStopping });
   }
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -2,7 +2,7 @@
 import type { QuotaShortfall } from '../domain/quota-sharing.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import type { RentalOffer } from '../model/machine.js';
-import type { ResourceAmount, Resources } from '../model/resources.js';
+import type { MachineRoom, ResourceAmount, Resources } from '../model/resources.js';
 import type { TeamQuota } from '../model/team.js';
 import type { DeadlineOptions } from './urgency.js';
 
@@ -12,8 +12,8 @@
   id: string;
   /** Total resources of the machine. */
   capacity: Resources;
-  /** Resources that no task uses or might still be using. Changed during planning. */
-  free: Resources;
+  /** Room that no task uses or might still be using. Changed during planning. */
+  free: MachineRoom;
   /** Container images that are cached there, or will be once its tasks have started. */
   images: ReadonlySet<string>;
 }
@@ -32,6 +32,11 @@
   jobs: JobEntry[];
   /** Bytes of the allocations that the plan may make: as many as one transaction can record. If absent, any number. */
   maxAllocationBytes?: number | undefined;
+  /**
+   * Whether to ignore the limited size of heartbeats for arrays. Machines are not rented for want of room there, because
+   * the tasks of an array can wait for each other.
+   */
+  ignoresHeartbeatsOfArrays?: boolean | undefined;
   /** Quotas by team. */
   teams: ReadonlyMap<string, TeamQuota>;
   /** What each team's tasks use on the whole fleet, including tasks whose outcome is unknown. */
--- a/src/workers/lease-monitor.ts
+++ b/src/workers/lease-monitor.ts
@@ -81,6 +81,7 @@
     const { machineId, fencingToken } = session;
     session.leaseExpired = true;
     session.tasks = new Map();
+    session.unrecordedBytes = 0;
     session.unknownOutcome = null;
     log.info({ machineId, fencingToken }, 'worker lease expired');
     outcomes.requeueAllOn(machineId);
--- a/src/workers/machine-reconciler.ts
+++ b/src/workers/machine-reconciler.ts
@@ -9,8 +9,8 @@
 import type { TaskOutcomes } from './task-outcomes.js';
 import type { WorkerSession } from './worker-session.js';
 
-/** Maximum number of commands in one message to a worker. */
-const MAX_COMMANDS = 200;
+/** Maximum number of commands in one message to a worker. Even with the longest names they take less than 64 KiB. */
+export const MAX_COMMANDS = 200;
 
 /** Reconciles one machine, and applies the result to its session and to the pending outcomes. */
 export class MachineReconciler {
@@ -26,12 +26,13 @@
     if (!session.fenced || session.leaseExpired || !this.sessions.isOwned(session)) return [];
     // The replica may not yet contain what the former owner recorded before it lost the machine.
     if (this.state.replica.revision < session.ownedAtRevision) return [];
-    const { commands, outcomes } = reconcileMachine(
+    const { commands, outcomes, unrecordedBytes } = reconcileMachine(
       session.machineId,
       session.tasks,
       this.jobsOn(session.machineId),
       (key) => session.startedTasks.has(key),
     );
+    session.unrecordedBytes = unrecordedBytes;
     forgetAcknowledged(session, commands);
     for (const outcome of outcomes) this.addOutcome(session, outcome);
     return this.executable(session.machineId, commands);
--- a/src/workers/manager.ts
+++ b/src/workers/manager.ts
@@ -196,7 +196,10 @@
     return () => {
       for (const machineId of committed()) {
         const session = this.sessions.get(machineId);
-        if (session && !session.leaseExpired) this.dispatcher.requestReconcile(session);
+        if (!session || session.leaseExpired) continue;
+        // Counts the ended tasks as unrecorded from now on, also if a request is in flight.
+        this.reconciler.reconcile(session);
+        this.dispatcher.requestReconcile(session);
       }
     };
   }
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -7,6 +7,7 @@
 } from '../model/job-lifecycle.js';
 import type { JobRecord } from '../model/job.js';
 import type { TaskStatus, WorkerCommand } from '../model/worker.js';
+import { taskStatusBytes } from '../protocol/heartbeat-size.js';
 
 /** An allocation that has ended, and the evidence for it. */
 export interface ProvenOutcome {
@@ -22,6 +23,8 @@
   /** Commands that bring the machine to the recorded state. */
   commands: WorkerCommand[];
   outcomes: ProvenOutcome[];
+  /** Bytes in the heartbeats of the reported tasks that are not recorded. */
+  unrecordedBytes: number;
 }
 
 /**
@@ -58,14 +61,16 @@
       }
     }
   }
+  let unrecordedBytes = 0;
   for (const [key, status] of tasks) {
     if (recorded.has(key)) continue;
+    unrecordedBytes += taskStatusBytes(status.taskName);
     const command = commandForUnrecorded(key, status, mayStartAgain);
     if (command) commands.push(command);
   }
   // Starts come last, so that the tasks stopped or acknowledged before them have released their resources.
   commands.push(...starts);
-  return { commands, outcomes };
+  return { commands, outcomes, unrecordedBytes };
 }
 
 /** The command that stops a recorded and reported task if it should no longer run. */
--- a/src/workers/worker-session.ts
+++ b/src/workers/worker-session.ts
@@ -23,6 +23,8 @@
   sequence: number;
   /** Tasks that the worker reported last, by `taskKey`. */
   tasks: Map<string, TaskStatus>;
+  /** Bytes in the heartbeats of those tasks that are not recorded on the machine; most of them have ended. */
+  unrecordedBytes: number;
   /** Tasks started under the current token and incarnation; a copy of such a start request may still arrive late. */
   startedTasks: Set<string>;
   /** Whether the worker has reported this token, so that it refuses commands sent under a lower one. */
@@ -58,6 +60,7 @@
     workerIncarnation: 0,
     sequence: 0,
     tasks: new Map(),
+    unrecordedBytes: 0,
     startedTasks: new Set(),
     fenced: false,
     lastContactAt: now,
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -6,6 +6,10 @@
 import { TaskRunner, type FakeTask, type RunnerMachine } from './task-runner.js';
 import type { WorkerEnvironment } from './worker-environment.js';
 
+/** Limit of a request body, in its JSON form. */
+const MAX_BODY_BYTES = 64 * 1024;
+/** With fewer tasks than this, a heartbeat is never too large, so its size is not determined. */
+const FEW_TASKS = 300;
 /** How often the worker checks whether its lease has expired and whether a heartbeat is due. */
 const TICK_MS = 100;
 /** Timeout of a heartbeat. An answer that arrives later does not renew the lease. */
@@ -36,6 +40,8 @@
   /** Whether the machine hangs: it executes nothing and sends nothing, but may resume later. */
   hung = false;
   dead = false;
+  /** Number of heartbeats that were larger than a request may be. */
+  oversizedHeartbeats = 0;
   private readonly runner: TaskRunner;
   private leaseStartedAt: number;
   /** Index in `hosts` of the controller that receives the heartbeats. */
@@ -146,6 +152,10 @@
     };
   }
 
+  private isTooLarge(body: Body): boolean {
+    return this.runner.list().length > FEW_TASKS && JSON.stringify(body).length > MAX_BODY_BYTES;
+  }
+
   private sendHeartbeat(): void {
     const { time, random, hosts, heartbeatMs } = this.environment;
     const sentAt = time.now;
@@ -153,11 +163,19 @@
     this.lastHeartbeatAt = sentAt;
     this.nextHeartbeatAt = sentAt + heartbeatMs * random.real(0.75, 1.25);
     this.isHeartbeatPending = true;
+    const body = this.statusBody();
+    if (this.isTooLarge(body)) {
+      // A controller would refuse it with status 413.
+      this.oversizedHeartbeats++;
+      this.isHeartbeatPending = false;
+      this.tryNextController();
+      return;
+    }
     const send = this.environment.callerTo(this.id, hosts[this.controllerIndex] ?? '');
     send({
       method: 'POST',
       path: '/checkin',
-      body: this.statusBody(),
+      body,
       timeoutMs: HEARTBEAT_TIMEOUT_MS,
     })
       .then(
--- /dev/null
+++ b/test/large-array-life.test.ts
@@ -0,0 +1,123 @@
+/** The life of an array of very many small tasks, from its acceptance to its end, while other jobs run. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DEFAULT_OPERATOR_SETTINGS } from '../src/config/operator.js';
+import { longestTurnMs } from './fakes/event-loop.js';
+import { LEASE_S } from './fakes/world-options.js';
+import { World, type WorldOptions } from './fakes/world.js';
+
+/** Time in which a controller must get to renew its lease. */
+const MAX_TURN_MS = LEASE_S * 1000 * DEFAULT_OPERATOR_SETTINGS.renewalShare;
+const MACHINES = 6;
+/** CPU limit of the array's team. */
+const TEAM_CPUS = 40;
+const ARRAY_AT_S = 15;
+/** When the moment of a case comes: the array has been running for a while. */
+const MOMENT_AT_S = 30;
+
+type StateLimits = WorldOptions['state'];
+const SMALL_VALUES: StateLimits = { rps: 200, write_rps: 15, value_kb: 1, txn_ops: 12 };
+
+/** Something that happens to an array while it runs. */
+interface Moment {
+  name: string;
+  state: StateLimits;
+  tasks: number;
+  cpus: number;
+  expectedSeconds: number;
+  happens?(world: World): void;
+  /** When the array must have ended, in seconds. */
+  endsByS: number;
+}
+
+const SMALL = { state: SMALL_VALUES, tasks: 3000, cpus: 0.005 };
+
+const MOMENTS: Moment[] = [
+  { ...SMALL, name: 'it runs undisturbed', expectedSeconds: 6, endsByS: 120 },
+  {
+    ...SMALL,
+    name: 'all controllers restart',
+    expectedSeconds: 12,
+    happens(world) {
+      for (const host of world.hosts()) world.kill(host, 500);
+    },
+    endsByS: 210,
+  },
+  {
+    ...SMALL,
+    name: 'a controller dies and its machines are taken over',
+    expectedSeconds: 12,
+    happens(world) {
+      world.kill('a', 1e9);
+    },
+    endsByS: 210,
+  },
+];
+
+function worldOf({ state }: Moment): World {
+  const world = new World(1, {
+    state,
+    capacity: MACHINES,
+    teams: [
+      { name: 'red', cpus: TEAM_CPUS, cpus_max: TEAM_CPUS, gpus: 0, gpus_max: 0 },
+      { name: 'blue', cpus: 16, cpus_max: 24, gpus: 0, gpus_max: 4 },
+    ],
+    machineTypes: [
+      {
+        name: 'large',
+        cpus: 16,
+        gpus: 0,
+        memoryGb: 128,
+        pricePerHour: 1,
+        spotPricePerHour: 0.3,
+        bootSeconds: 10,
+        zones: ['x', 'y'],
+      },
+    ],
+    operator: { ...DEFAULT_OPERATOR_SETTINGS, rent: false },
+  });
+  world.cloud.startMachines(MACHINES);
+  return world;
+}
+
+// Before, heartbeats over 64 KiB were refused, so that leases ended and all tasks were killed, again and again.
+for (const moment of MOMENTS)
+  void test(`large array of ${String(moment.tasks)} tasks: ${moment.name}`, async () => {
+    const world = worldOf(moment);
+    await world.time.runUntil(10_000);
+    const service = world.submit({
+      team: 'blue',
+      kind: 'service',
+      priority: 'critical',
+      tasks: 3,
+      expectedSeconds: 0,
+    });
+    await world.time.runUntil(ARRAY_AT_S * 1000);
+    const { tasks, cpus, expectedSeconds } = moment;
+    const array = world.submit({ tasks, cpus, memoryGb: 0.01, expectedSeconds });
+    const blockedMs = await longestTurnMs(async () => {
+      await world.time.runUntil(MOMENT_AT_S * 1000);
+      moment.happens?.(world);
+      await world.time.runUntil(moment.endsByS * 1000);
+    });
+    const whole = world.submit({ kind: 'gang', tasks: TEAM_CPUS / 4, cpus: 4 });
+    await world.time.runUntil((moment.endsByS + 30) * 1000);
+    world.checker.finish();
+
+    const startsOf = (id: string): number =>
+      world.checker.starts.filter(({ jobId }) => jobId === id).length;
+    assert.ok(blockedMs < MAX_TURN_MS, `blocked for ${blockedMs.toFixed(0)} ms`);
+    assert.ok(world.finalPhases.has(array), 'the array has ended');
+    assert.ok(startsOf(whole) > 0, 'its team has its whole limit back');
+    assert.deepEqual(world.checker.violations, []);
+    assert.deepEqual(world.recordViolations, []);
+    assert.deepEqual(world.store.oversized, []);
+    const workers = [...world.workers.values()];
+    assert.equal(
+      workers.reduce((sum, { oversizedHeartbeats }) => sum + oversizedHeartbeats, 0),
+      0,
+    );
+    assert.equal(startsOf(service), 3, 'the service was started once');
+    assert.ok(workers.every(({ incarnation }) => incarnation === 1));
+    world.shutDown();
+  });
--- a/test/large-arrays.test.ts
+++ b/test/large-arrays.test.ts
@@ -5,6 +5,7 @@
 import { allocatedTasksOn } from '../src/model/allocations.js';
 import { newJob, placeTasks, recordOutcomes } from '../src/model/job-lifecycle.js';
 import { plan } from '../src/placement/plan.js';
+import { maxTaskStatusBytes, MAX_REPORTED_TASKS_BYTES } from '../src/protocol/heartbeat-size.js';
 import { encodeJob, keys } from '../src/store/records/index.js';
 import { State } from '../src/store/state.js';
 import { TransactionBuilder } from '../src/store/transaction-builder.js';
@@ -92,6 +93,30 @@
     assert.ok(JSON.stringify(state.allocationsIn(key)).length <= limits.maxValueBytes);
 });
 
+// Nothing bounded the tasks on a machine. Heartbeats over 64 KiB were refused, and the lease ended with all tasks killed.
+void test('large array: it takes no more than half of the heartbeats of a machine, and another array finds room', () => {
+  const jobs = {
+    j: job({ ...SMALL_TASK, tasks: MAX_TASKS, priority: 'urgent' }),
+    k: job({ ...SMALL_TASK, tasks: MAX_TASKS }),
+    l: job({ kind: 'service', tasks: 2 }),
+  };
+  const heartbeatBytes = MAX_REPORTED_TASKS_BYTES;
+  const only = machine('1', {
+    capacity: LARGE_MACHINE,
+    free: { ...LARGE_MACHINE, heartbeatBytes },
+  });
+  const tasks = new Map(
+    plan(snapshot([only], jobs)).map(({ jobId, machineIds }) => [jobId, machineIds.length]),
+  );
+  const bytesOf = (jobId: 'j' | 'k'): number =>
+    (tasks.get(jobId) ?? 0) * maxTaskStatusBytes(jobId, jobs[jobId].spec);
+  assert.ok(bytesOf('j') <= heartbeatBytes / 2);
+  assert.ok(bytesOf('j') > heartbeatBytes / 3);
+  assert.ok(bytesOf('k') <= heartbeatBytes / 4);
+  assert.ok(bytesOf('k') > heartbeatBytes / 6);
+  assert.equal(tasks.get('l'), 2);
+});
+
 // Planning such an array blocked all controllers for more than a minute: leases ended and no request was answered.
 void test('large array: it does not block the controllers', async () => {
   const world = new World(1, WORLD_OPTIONS);
