Send the commands that exceed one message to a worker at once

Cause, by reading: a message holds 200 commands, and the next ones waited for the next heartbeat of the worker. With three messages or more, and heartbeats seconds apart, the halts of a gang on one machine would be further apart than gang_peer_s.

Change: after a full message that the worker executed, the next one follows. A worker that does not execute its commands is not asked again sooner.

--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -5,7 +5,7 @@
 import { decodeHeartbeat, encodeCommandRequest } from '../protocol/workers.js';
 import { NoAnswer, NotSent } from '../wire/client.js';
 import type { Connectivity } from './connectivity.js';
-import type { MachineReconciler } from './machine-reconciler.js';
+import { MAX_COMMANDS, type MachineReconciler } from './machine-reconciler.js';
 import { taskKey } from './reconciliation.js';
 import type { SessionStore } from './session-store.js';
 import type { WorkerCallers } from './worker-callers.js';
@@ -75,7 +75,9 @@
     try {
       const answer = await this.request(session, fence, commands);
       this.dependencies.connectivity.noteContact();
-      if (this.dependencies.sessions.isCurrent(session)) this.applyAnswer(session, fence, answer);
+      if (!this.dependencies.sessions.isCurrent(session)) return;
+      this.applyAnswer(session, fence, answer);
+      if (answer.accepted && mayHaveMore(session, commands)) session.requestPending = true;
     } catch (error) {
       if (!(error instanceof NoAnswer)) throw error;
       this.requestFailed(session, fence, commands, error);
@@ -139,3 +141,15 @@
     });
   }
 }
+
+/**
+ * Whether there may be more commands than the message had room for. False if the worker did not execute its last
+ * command, which would otherwise be sent again and again.
+ */
+function mayHaveMore({ tasks }: WorkerSession, sent: readonly WorkerCommand[]): boolean {
+  const last = sent.at(-1);
+  if (!last || sent.length < MAX_COMMANDS) return false;
+  const status = tasks.get(taskKey(last.taskName, last.attempt));
+  if (last.kind === 'start') return status !== undefined;
+  return status === undefined || status.phase === 'exited' || status.phase === 'checkpointing';
+}
--- a/test/large-array-life.test.ts
+++ b/test/large-array-life.test.ts
@@ -172,3 +172,18 @@
     }
     world.shutDown();
   });
+
+// A message to a worker holds 200 commands, and the next ones waited for its next heartbeat. More than two messages
+// took longer than the tasks of a gang may be stopped one after the other.
+void test('large array: the commands that exceed one message follow at once', async () => {
+  const world = worldOf({ ...SMALL, name: '', expectedSeconds: 60, endsByS: 0 });
+  await world.time.runUntil(10_000);
+  world.submit({ tasks: 700, cpus: 0.005, memoryGb: 0.01, expectedSeconds: 60 });
+  const counts = (): number[] =>
+    [...world.workers.values()].map(({ startedTasks }) => startedTasks.length);
+  while (counts().every((count) => count === 0) && world.time.now < 20_000)
+    await world.time.runUntil(world.time.now + 10);
+  await world.time.runUntil(world.time.now + 100);
+  assert.ok(Math.max(...counts()) > 300, counts().join(' '));
+  world.shutDown();
+});
