--- a/src/workers/task-outcomes.ts
+++ b/src/workers/task-outcomes.ts
@@ -58,15 +58,19 @@
   }
 
   add(jobId: string, allocation: Allocation, outcome: TaskOutcome): void {
-    const { state, fencingTokenFor, wake } = this.dependencies;
+    if (this.has(jobId, allocation)) return;
+    const { state, clock, fencingTokenFor, wake } = this.dependencies;
     const fencingToken = fencingTokenFor(allocation.machine);
     const pending = getOrAdd(this.byJob, jobId, () => new PendingOutcomes());
-    if (!pending.add({ allocation, outcome, fencingToken })) return;
+    pending.add({ allocation, outcome, fencingToken });
     if (state.jobs.get(jobId)?.preemptedTasks?.includes(allocation.task)) {
       // The task was preempted: another job waits for its resources.
       this.pendingSince = -Infinity;
       wake();
-    } else if (this.pendingSince === Infinity) this.startBatching();
+    } else if (this.pendingSince === Infinity) {
+      this.pendingSince = clock.now();
+      clock.after(this.options.batchingMs, wake);
+    }
   }
 
   /** Adds a `requeued` outcome for every allocation on a machine; called when none of their tasks still runs. */
@@ -93,37 +97,39 @@
     const included = new Map<string, readonly PendingOutcome[]>();
     for (const [jobId, pending] of this.byJob) {
       const valid = this.validOutcomes(pending, transaction.job(jobId));
-      if (pending.size === 0) this.byJob.delete(jobId);
+      if (valid.length === 0) {
+        this.byJob.delete(jobId);
+        continue;
+      }
       const recorded = this.record(transaction, jobId, valid);
       if (recorded.length > 0) included.set(jobId, recorded);
     }
-    if (included.size === 0) this.startBatching();
+    if (included.size === 0) this.restartBatching();
     return () => this.removeRecorded(included);
   }
 
-  /** Lets the pending outcomes wait for the batching delay, from now on. */
-  private startBatching(): void {
-    const { clock, wake } = this.dependencies;
-    this.pendingSince = this.byJob.size > 0 ? clock.now() : Infinity;
-    if (this.byJob.size > 0) clock.after(this.options.batchingMs, wake);
+  /** Lets the outcomes that are still pending wait for another batching delay. */
+  private restartBatching(): void {
+    this.pendingSince = this.byJob.size > 0 ? this.dependencies.clock.now() : Infinity;
   }
 
-  /**
-   * The outcomes to record next, those of the machine that has waited longest first. Drops outcomes that no longer hold.
-   */
+  /** Those of the outcomes that still hold, as many as may fit, in the order in which they were added. */
   private validOutcomes(pending: PendingOutcomes, job: JobRecord | undefined): PendingOutcome[] {
+    const { fencingTokenFor } = this.dependencies;
+    const recorded = new Map<string, AllocationSet>();
     const valid: PendingOutcome[] = [];
-    for (const [machineId, outcomes] of pending.byMachine()) {
+    for (const outcome of pending.values()) {
       if (valid.length >= MAX_OUTCOMES_PER_JOB) break;
-      const fencingToken = this.dependencies.fencingTokenFor(machineId);
-      const recorded = new AllocationSet(job?.allocationsByMachine[machineId]);
-      for (const outcome of outcomes) {
-        const { task, attempt } = outcome.allocation;
-        // A machine that left the domain and came back under a higher token may have kept the task running in between.
-        const isProven = fencingToken !== null && outcome.fencingToken === fencingToken;
-        if (isProven && recorded.has(task, attempt)) valid.push(outcome);
-        else pending.delete(outcome);
-      }
+      const { machine, task, attempt } = outcome.allocation;
+      const isRecorded = getOrAdd(
+        recorded,
+        machine,
+        () => new AllocationSet(job?.allocationsByMachine[machine]),
+      ).has(task, attempt);
+      // A machine that left the domain and came back under a higher token may have kept the task running in between.
+      const isProven =
+        outcome.fencingToken !== null && fencingTokenFor(machine) === outcome.fencingToken;
+      if (isRecorded && isProven) valid.push(outcome);
     }
     return valid;
   }
@@ -138,8 +144,9 @@
     outcomes: readonly PendingOutcome[],
   ): readonly PendingOutcome[] {
     if (this.recordAll(transaction, jobId, outcomes)) return outcomes;
-    const completed = outcomes.filter(({ outcome }) => outcome === 'completed');
-    const others = outcomes.filter(({ outcome }) => outcome !== 'completed');
+    const byMachine = groupByMachine(outcomes);
+    const completed = byMachine.filter(({ outcome }) => outcome === 'completed');
+    const others = byMachine.filter(({ outcome }) => outcome !== 'completed');
     return [completed, others].flatMap((group) => this.recordFirst(transaction, jobId, group));
   }
 
@@ -180,7 +187,18 @@
       }
       if (pending?.size === 0) this.byJob.delete(jobId);
     }
-    this.startBatching();
+    this.restartBatching();
     return machines;
   }
 }
+
+/**
+ * The same outcomes, those of each machine together, so that the first of them change few records. Machines stay in
+ * the order of their first outcomes.
+ */
+function groupByMachine(outcomes: readonly PendingOutcome[]): PendingOutcome[] {
+  const groups = new Map<string, PendingOutcome[]>();
+  for (const outcome of outcomes)
+    getOrAdd(groups, outcome.allocation.machine, () => []).push(outcome);
+  return [...groups.values()].flat();
+}
