Cost in proportion to change: gangs, preemption, renting and arrays

By reading, the same class as the array that stopped all controllers: work that one job of many tasks can make as large as it likes.

- A gang chose each machine among all candidates, also each second when it looked for machines of peers, however large it is.
It now takes them from a priority queue for each zone, after a check whether there is room at all, and one that no transaction can record is not planned.
- Preemption looked at all tasks of an array on a machine for each waiting task.
It looks at one more than may be stopped at once, and at a bounded number of waiting tasks.
- Renting and the filling of a machine with tasks of an array count how many fit instead of asking for each.
- Whether tasks should run on is decided with a set of the preempted ones.

--- a/src/fleet/rental-plan.ts
+++ b/src/fleet/rental-plan.ts
@@ -1,5 +1,5 @@
 /** The rental plan: which machines to rent so that waiting tasks can run. It depends only on a snapshot and options. */
-import { fits, isAllowedOn, reserveResources } from '../model/fit.js';
+import { fits, fittingTasks, isAllowedOn, reserveResources } from '../model/fit.js';
 import { waitingCount } from '../model/job-lifecycle.js';
 import type { JobRecord, JobSpec } from '../model/job.js';
 import type { MachineType, RentalOffer } from '../model/machine.js';
@@ -116,7 +116,8 @@
     while (demand.missingTasks > 0) {
       const candidate = this.plannedMachineFor(demand) ?? this.rentFor(demand);
       if (!candidate) return;
-      this.assignTask(demand, candidate, used);
+      const tasks = this.tasksAtOnce(demand, candidate);
+      for (let task = 0; task < tasks; task++) this.assignTask(demand, candidate, used);
     }
   }
 
@@ -204,6 +205,11 @@
     return candidate;
   }
 
+  /** How many tasks are assigned to a machine before the next machine is chosen. */
+  private tasksAtOnce({ spec, size, missingTasks }: Demand, { free }: Candidate): number {
+    return spec.spreadAcrossZones ? 1 : Math.max(1, fittingTasks(size, free, missingTasks));
+  }
+
   private assignTask(demand: Demand, candidate: Candidate, used: ResourceAmount): void {
     const { spec, size, tasksByZone } = demand;
     reserveResources(size, candidate.free);
--- a/src/model/fit.ts
+++ b/src/model/fit.ts
@@ -22,6 +22,24 @@
   );
 }
 
+/** How many tasks of this size fit into the free room, at most `max`. */
+export function fittingTasks(size: MachineRoom, free: MachineRoom, max: number): number {
+  return Math.max(
+    0,
+    Math.min(
+      max,
+      quotient(free.cpus + RESOURCE_EPSILON, size.cpus),
+      quotient(free.gpus + RESOURCE_EPSILON, size.gpus),
+      quotient(free.memoryGb + RESOURCE_EPSILON, size.memoryGb),
+      quotient(free.heartbeatBytes ?? Infinity, size.heartbeatBytes ?? 0),
+    ),
+  );
+}
+
+function quotient(amount: number, perTask: number): number {
+  return perTask > 0 ? Math.floor(amount / perTask) : Infinity;
+}
+
 /** Subtracts the size of `tasks` tasks from `free`. */
 export function reserveResources(size: MachineRoom, free: MachineRoom, tasks = 1): void {
   free.cpus -= size.cpus * tasks;
--- a/src/model/job-lifecycle.ts
+++ b/src/model/job-lifecycle.ts
@@ -93,9 +93,11 @@
   return phase === null ? null : { phase, tasks: job.spec.tasks };
 }
 
-/** Whether a task of this job that is on a machine should keep running there. */
-export function shouldRun(job: JobRecord, task: number): boolean {
-  return !job.cancelled && !job.gangDone && !job.gangBroken && !job.preemptedTasks?.includes(task);
+/** A test of whether a task of this job that is on a machine should keep running there. */
+export function runTest(job: JobRecord): (task: number) => boolean {
+  if (job.cancelled || job.gangDone || job.gangBroken) return () => false;
+  const preempted = new Set(job.preemptedTasks);
+  return (task) => !preempted.has(task);
 }
 
 /** Places waiting tasks under a new attempt number, one task for each entry of `machines`. */
--- a/src/placement/candidate-choice.ts
+++ b/src/placement/candidate-choice.ts
@@ -1,19 +1,21 @@
 /** Bin packing: chooses the machines for the tasks of one job. */
 import {
   fits,
+  fittingTasks,
   isAllowedOn,
   releaseResources,
   reserveResources,
   suitsGpuUse,
 } from '../model/fit.js';
 import type { JobSpec } from '../model/job.js';
-import { RESOURCE_EPSILON, type MachineRoom } from '../model/resources.js';
+import type { MachineRoom } from '../model/resources.js';
 import { compareNames } from '../util/order.js';
-import { isWithinLimit, isWithinQuota, recordShortfall } from './quota.js';
+import { CandidateOrder } from './candidate-order.js';
+import { CandidateQueue } from './candidate-queue.js';
+import { isWithinLimit, isWithinQuota, recordShortfall, tasksWithinQuota } from './quota.js';
 import type { QueuedJob } from './queued-job.js';
-import { isLexicographicallyLess } from './sort-key.js';
 import type { Candidate, Snapshot } from './types.js';
-import { addTasks, maxTasksPerZone } from './zones.js';
+import { maxTasksPerZone } from './zones.js';
 
 /** Chooses machines for one job after another and reserves their resources in the candidates. */
 export class CandidateChooser {
@@ -21,10 +23,14 @@
   private bestKey: number[] = [];
   private candidateKey: number[] = [];
 
+  private readonly order: CandidateOrder;
+
   constructor(
     private readonly snapshot: Snapshot,
     private readonly candidates: readonly Candidate[],
-  ) {}
+  ) {
+    this.order = new CandidateOrder(snapshot.controllerZones);
+  }
 
   /**
    * Returns one machine for the next tasks of an array (repeated for as many tasks as it holds, up to `maxTasks`), one
@@ -70,59 +76,45 @@
     tasksByZone: ReadonlyMap<string, number>,
     tasks: number,
   ): Candidate[] | null {
-    const chosen: Candidate[] = [];
+    if (tasks === 1) return this.placeOne({ spec, size }, candidates, tasksByZone);
+    if (!haveRoomFor(size, candidates, tasks)) return null;
     const plannedByZone = new Map(tasksByZone);
+    const queue = new CandidateQueue({ spec, size }, candidates, plannedByZone, this.order);
+    const chosen: Candidate[] = [];
     while (chosen.length < tasks) {
-      const best = this.bestCandidate({ spec, size }, candidates, plannedByZone);
+      const best = queue.place();
       if (!best) {
         for (const candidate of chosen) releaseResources(size, candidate.free);
         return null;
       }
-      reserveResources(size, best.free);
       chosen.push(best);
-      addTasks(plannedByZone, best.zone);
     }
     return chosen;
   }
 
-  /** The candidate with the lowest sort key (see `fillCandidateKey`) that fits one task and whose zone is not full. */
-  private bestCandidate(
+  /** Reserves resources for one task on the best candidate whose zone is not full, and returns it. */
+  private placeOne(
     { spec, size }: { spec: JobSpec; size: MachineRoom },
     candidates: readonly Candidate[],
     tasksByZone: ReadonlyMap<string, number>,
-  ): Candidate | null {
+  ): [Candidate] | null {
     const maxPerZone = maxTasksPerZone(spec);
     let best: Candidate | null = null;
     for (const candidate of candidates) {
       const tasksInZone = tasksByZone.get(candidate.zone) ?? 0;
       if (tasksInZone >= maxPerZone || !fits(size, candidate.free)) continue;
-      this.fillCandidateKey(spec, candidate, tasksInZone);
+      this.order.fillKey(this.candidateKey, spec, candidate, tasksInZone);
       if (best && !this.isBetter(candidate, best)) continue;
       best = candidate;
       [this.bestKey, this.candidateKey] = [this.candidateKey, this.bestKey];
     }
-    return best;
+    if (!best) return null;
+    reserveResources(size, best.free);
+    return [best];
   }
 
   private isBetter(candidate: Candidate, best: Candidate): boolean {
-    if (isLexicographicallyLess(this.candidateKey, this.bestKey)) return true;
-    return !isLexicographicallyLess(this.bestKey, this.candidateKey) && candidate.id < best.id;
-  }
-
-  /**
-   * Criteria in order: no GPU machine for a task that uses no GPUs; cached image; fewest tasks of the job in the zone
-   * (if they are to be spread); a zone with a controller (for services); a spot machine (if the job accepts them);
-   * largest free fraction of the CPUs.
-   */
-  private fillCandidateKey(spec: JobSpec, candidate: Candidate, tasksInZone: number): void {
-    const key = this.candidateKey;
-    key[0] = suitsGpuUse(spec, candidate.capacity) ? 0 : 1;
-    key[1] = candidate.images.has(spec.image) ? 0 : 1;
-    key[2] = spec.spreadAcrossZones ? tasksInZone : 0;
-    // Prefer zones with a controller for services, so that a network partition between zones does not cut them off.
-    key[3] = spec.kind === 'service' && !this.snapshot.controllerZones.has(candidate.zone) ? 1 : 0;
-    key[4] = spec.spot && !candidate.spot ? 1 : 0;
-    key[5] = -candidate.free.cpus / Math.max(candidate.capacity.cpus, RESOURCE_EPSILON);
+    return this.order.compare(this.candidateKey, candidate, this.bestKey, best) < 0;
   }
 
   private completeChoice(
@@ -134,7 +126,9 @@
     // Tasks of an array or gang share one image pull on each machine. For a service the image is not counted as cached
     // yet: that would attract further replicas to the same machine.
     if (spec.kind !== 'service')
-      for (const candidate of chosen) candidate.images = new Set([...candidate.images, spec.image]);
+      for (const candidate of chosen)
+        if (!candidate.images.has(spec.image))
+          candidate.images = new Set([...candidate.images, spec.image]);
     const machineIds = chosen.map((candidate) => candidate.id);
     const [first] = chosen;
     if (spec.kind === 'array' && first) this.addArrayTasks(queued, first, maxTasks, machineIds);
@@ -151,22 +145,30 @@
     maxTasks: number,
     machineIds: string[],
   ): void {
-    const { size } = queued;
     const { spec } = queued.job;
-    while (
-      machineIds.length < maxTasks &&
-      !spec.spreadAcrossZones &&
-      fits(size, candidate.free) &&
-      queued.leavesRoomOn(candidate, machineIds.length) &&
-      isWithinLimit(this.snapshot, spec, machineIds.length + 1) &&
-      isWithinQuota(this.snapshot, spec, machineIds.length + 1)
-    ) {
-      reserveResources(size, candidate.free);
+    if (spec.spreadAcrossZones) return;
+    const further = Math.min(
+      maxTasks - machineIds.length,
+      queued.tasksWithRoomOn(candidate, machineIds.length),
+      tasksWithinQuota(this.snapshot, spec) - machineIds.length,
+    );
+    for (let task = 0; task < further; task++) {
+      reserveResources(queued.size, candidate.free);
       machineIds.push(candidate.id);
     }
   }
 }
 
+/** Whether the candidates together have room for the tasks. */
+function haveRoomFor(size: MachineRoom, candidates: readonly Candidate[], tasks: number): boolean {
+  let missing = tasks;
+  for (const { free } of candidates) {
+    missing -= fittingTasks(size, free, missing);
+    if (missing === 0) return true;
+  }
+  return false;
+}
+
 /** One group of candidates per zone if all tasks must run in the same zone; otherwise all candidates as one group. */
 function groupByZone(
   spec: JobSpec,
--- a/src/placement/gang-borrowing.ts
+++ b/src/placement/gang-borrowing.ts
@@ -18,6 +18,8 @@
   self: string;
   /** Minimum time between two attempts, in milliseconds. */
   intervalMs: number;
+  /** Bytes of the allocations that one transaction can record; larger gangs cannot be placed. */
+  maxAllocationBytes: number;
 }
 
 /** What `GangBorrowing` works with. */
@@ -48,10 +50,12 @@
    */
   propose(unplaced: readonly JobEntry[]): Proposal | null {
     const gangs = unplaced.filter(({ job: { spec } }) => spec.kind === 'gang' && spec.tasks > 1);
-    const now = this.dependencies.clock.now();
-    if (gangs.length === 0 || now - this.lastAttemptAt < this.options.intervalMs) return null;
+    const { clock, snapshots } = this.dependencies;
+    const { intervalMs, maxAllocationBytes } = this.options;
+    const now = clock.now();
+    if (gangs.length === 0 || now - this.lastAttemptAt < intervalMs) return null;
     this.lastAttemptAt = now;
-    for (const placement of plan(this.dependencies.snapshots.create(this.candidates(), gangs))) {
+    for (const placement of plan(snapshots.create(this.candidates(), gangs, maxAllocationBytes))) {
       const transfer = this.transferFor(placement);
       if (transfer) return transfer;
     }
--- a/src/placement/placement-pass.ts
+++ b/src/placement/placement-pass.ts
@@ -163,21 +163,21 @@
     unplaced: readonly JobEntry[],
   ): void {
     const { state, log } = this.dependencies;
+    const { maxPreemptedTasks } = this.options;
     // The reservations only had to hold back lower priorities while planning.
     snapshot.reservedQuota = undefined;
     const preempting = this.preemptingJobs(transaction, snapshot, unplaced);
     if (preempting.length === 0) return;
     const running = runningTasksOn(
       snapshot.candidates,
-      (machineId) => state.jobsByMachine.get(machineId) ?? [],
-      (jobId) => transaction.job(jobId),
-    );
-    const preempted = selectPreemptions(
-      snapshot,
-      preempting,
-      running,
-      this.options.maxPreemptedTasks,
+      {
+        jobsOn: (machineId) => state.jobsByMachine.get(machineId) ?? [],
+        jobOf: (jobId) => transaction.job(jobId),
+      },
+      // One more than may be preempted shows that the tasks of one job on one machine are not enough.
+      maxPreemptedTasks + 1,
     );
+    const preempted = selectPreemptions(snapshot, preempting, running, maxPreemptedTasks);
     for (const { jobId, task } of preempted) {
       const job = transaction.job(jobId);
       if (!job) continue;
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -13,6 +13,7 @@
 import type { Proposal, ProposalSource } from '../store/commit-loop.js';
 import { keys } from '../store/records/index.js';
 import type { State } from '../store/state.js';
+import { maxNewAllocationBytes } from '../store/transaction-limits.js';
 import type { WorkerManager } from '../workers/manager.js';
 import { CandidateCache } from './candidates.js';
 import { GangBorrowing } from './gang-borrowing.js';
@@ -99,7 +100,14 @@
       ...planning,
       usage: this.usage,
       turns: this.turns,
-      borrowing: new GangBorrowing({ self, intervalMs: replacementMs }, planning),
+      borrowing: new GangBorrowing(
+        {
+          self,
+          intervalMs: replacementMs,
+          maxAllocationBytes: maxNewAllocationBytes(options.limits),
+        },
+        planning,
+      ),
       replanIn: (delayMs) => {
         this.replanIn(delayMs);
       },
--- a/src/placement/plan-budget.ts
+++ b/src/placement/plan-budget.ts
@@ -7,6 +7,16 @@
  */
 const EXAMINED_CANDIDATES_PER_TASK = 4;
 
+/** How many tasks of one job, each of that many bytes in a record, may be placed one by one. */
+export function maxSingleTasks(
+  maxBytes: number,
+  allocationBytes: number,
+  candidates: number,
+): number {
+  const examined = (maxBytes / allocationBytes) * EXAMINED_CANDIDATES_PER_TASK;
+  return Math.max(1, Math.floor(examined / Math.max(1, candidates)));
+}
+
 /**
  * The bytes of allocations that a plan may still make. Each job leaves at least as much as it takes, so that a large
  * job cannot keep the jobs behind it out of the transaction.
@@ -29,7 +39,10 @@
     const placed = machineIds.length;
     let maxTasks = Math.ceil((tasksLeft - placed) / 2);
     if (spec.kind === 'service' || spec.spreadAcrossZones)
-      maxTasks = Math.min(maxTasks, this.maxSingleTasks(allocationBytes) - placed);
+      maxTasks = Math.min(
+        maxTasks,
+        maxSingleTasks(this.maxBytes, allocationBytes, this.candidates) - placed,
+      );
     return Math.max(0, Math.min(waiting, maxTasks));
   }
 
@@ -37,10 +50,4 @@
   take({ allocationBytes }: QueuedJob, tasks: number): void {
     this.bytesLeft -= allocationBytes * tasks;
   }
-
-  /** How many tasks of one job may be placed one by one. */
-  private maxSingleTasks(allocationBytes: number): number {
-    const examined = (this.maxBytes / allocationBytes) * EXAMINED_CANDIDATES_PER_TASK;
-    return Math.max(1, Math.floor(examined / Math.max(1, this.candidates)));
-  }
 }
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -1,5 +1,6 @@
 /** Preemption: selects tasks to stop so that others can start. A pure function of a snapshot. */
 import { fits, releaseResources, reserveResources } from '../model/fit.js';
+import { allocationBytes } from '../model/allocations.js';
 import { waitingCount } from '../model/job-lifecycle.js';
 import type { JobRecord } from '../model/job.js';
 import { compareJobs } from './job-order.js';
@@ -12,6 +13,7 @@
   requirementsKey,
   preemptionSortKey,
 } from './preemption-rules.js';
+import { maxSingleTasks } from './plan-budget.js';
 import { addUsage, fairShareOf, isWithinLimit, isWithinQuota, recordShortfall } from './quota.js';
 import type { PreemptedTask, RunningTask, RunningTasks } from './running-tasks.js';
 import { isLexicographicallyLess } from './sort-key.js';
@@ -90,7 +92,9 @@
     // Zones in which the job may run no further task are excluded: stopping tasks there would not let it start, and
     // would be repeated without end.
     const tasksByZone = countTasksByZone(this.snapshot, job);
-    for (let waiting = waitingCount(job); waiting > 0; waiting--) {
+    const waitingAtFirst = waitingCount(job);
+    const waitingAtLast = Math.max(0, waitingAtFirst - this.maxTasksFor(job));
+    for (let waiting = waitingAtFirst; waiting > waitingAtLast; waiting--) {
       // Nothing is stopped either if this domain's part of the team's limit would still keep the task from starting.
       const isWithinTeamLimit = isWithinLimit(this.snapshot, job.spec, 1);
       if (isWithinTeamLimit && !isWithinQuota(this.snapshot, job.spec, 1)) {
@@ -102,6 +106,13 @@
     return true;
   }
 
+  /** For how many tasks of a job room may be made; each of them examines all candidates. */
+  private maxTasksFor({ spec, lastAttempt }: JobRecord): number {
+    const { maxAllocationBytes = Infinity, candidates } = this.snapshot;
+    const bytes = allocationBytes(spec.tasks - 1, lastAttempt + 1);
+    return maxSingleTasks(maxAllocationBytes, bytes, candidates.length);
+  }
+
   private makeRoomForTask(
     entry: JobEntry,
     tasksByZone: Map<string, number>,
--- a/src/placement/queued-job.ts
+++ b/src/placement/queued-job.ts
@@ -1,5 +1,6 @@
 /** A job that a plan places, with what the plan has decided for it so far. */
 import { allocatedTasksOn, allocationBytes } from '../model/allocations.js';
+import { fittingTasks } from '../model/fit.js';
 import { waitingCount } from '../model/job-lifecycle.js';
 import type { JobRecord } from '../model/job.js';
 import type { MachineRoom } from '../model/resources.js';
@@ -53,13 +54,30 @@
    * leaves at least as much room in the heartbeats of a machine as it takes, so that its tasks cannot keep those of
    * other jobs out. A gang may take all, since it cannot start with a part of its tasks.
    */
-  leavesRoomOn({ id, free }: Candidate, chosen = 0): boolean {
+  leavesRoomOn(candidate: Candidate, chosen = 0): boolean {
     const { heartbeatBytes: bytes = 0 } = this.size;
-    const freeBytes = (free.heartbeatBytes ?? Infinity) - bytes;
+    const freeBytes = (candidate.free.heartbeatBytes ?? Infinity) - bytes;
     // No job can have taken more than is left.
-    if (freeBytes >= MAX_REPORTED_TASKS_BYTES / 2 || this.job.spec.kind === 'gang') return true;
+    if (freeBytes >= MAX_REPORTED_TASKS_BYTES / 2) return true;
+    return this.spareBytesOn(candidate, chosen) >= 2 * bytes;
+  }
+
+  /** How many more tasks of the job a candidate has room for, beside `chosen` ones that are reserved there already. */
+  tasksWithRoomOn(candidate: Candidate, chosen: number): number {
+    const fitting = fittingTasks(this.size, candidate.free, Infinity);
+    const { heartbeatBytes: bytes = 0 } = this.size;
+    if (bytes === 0) return fitting;
+    const spare = Math.floor(this.spareBytesOn(candidate, chosen) / (2 * bytes));
+    return Math.max(0, Math.min(fitting, spare));
+  }
+
+  /** By how much the free bytes in the heartbeats exceed those that the job takes. */
+  private spareBytesOn({ id, free }: Candidate, chosen: number): number {
+    const { heartbeatBytes: bytes = 0 } = this.size;
+    const freeBytes = free.heartbeatBytes ?? Infinity;
+    if (this.job.spec.kind === 'gang') return freeBytes;
     const tasks = allocatedTasksOn(this.job, id) + (this.placedOn.get(id) ?? 0) + chosen;
-    return (tasks + 1) * bytes <= freeBytes;
+    return freeBytes - tasks * bytes;
   }
 
   /** Adds tasks placed by this plan. */
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -1,5 +1,6 @@
 /** Quota and fair-share accounting on a snapshot. */
 import type { QuotaShortfall } from '../domain/quota-sharing.js';
+import { fittingTasks } from '../model/fit.js';
 import type { JobSpec } from '../model/job.js';
 import { NO_RESOURCES, RESOURCE_EPSILON, type ResourceAmount } from '../model/resources.js';
 import type { Snapshot } from './types.js';
@@ -89,6 +90,25 @@
   return { cpus: spec.cpus * tasksAtOnce, gpus: spec.gpus * tasksAtOnce };
 }
 
+/** How many more tasks both the team's limit and this domain's part of it allow. */
+export function tasksWithinQuota(snapshot: Snapshot, spec: JobSpec): number {
+  const quota = snapshot.teams.get(spec.team);
+  if (!quota) return 0;
+  const used = snapshot.usageByTeam.get(spec.team) ?? NO_RESOURCES;
+  const reserved = snapshot.reservedQuota?.get(spec.team) ?? NO_RESOURCES;
+  const left = {
+    cpus: quota.cpuLimit - used.cpus - reserved.cpus,
+    gpus: quota.gpuLimit - used.gpus - reserved.gpus,
+    memoryGb: Infinity,
+  };
+  if (snapshot.remainingQuota) {
+    const remaining = snapshot.remainingQuota.get(spec.team) ?? NO_RESOURCES;
+    left.cpus = Math.min(left.cpus, remaining.cpus);
+    left.gpus = Math.min(left.gpus, remaining.gpus);
+  }
+  return fittingTasks({ cpus: spec.cpus, gpus: spec.gpus, memoryGb: 0 }, left, Infinity);
+}
+
 /** Adds the usage of `tasks` placed tasks; a negative number removes that of preempted tasks. */
 export function addUsage(snapshot: Snapshot, spec: JobSpec, tasks: number): void {
   const used = snapshot.usageByTeam.get(spec.team) ?? NO_RESOURCES;
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -1,7 +1,7 @@
 /** Compares the allocations recorded for a machine with the tasks that its worker reports. */
 import {
   allocationsOn,
-  shouldRun,
+  runTest,
   type Allocation,
   type TaskOutcome,
 } from '../model/job-lifecycle.js';
@@ -44,6 +44,7 @@
   const starts: WorkerCommand[] = [];
   const recorded = new Set<string>();
   for (const [jobId, job] of jobs) {
+    const shouldRun = runTest(job);
     for (const allocation of allocationsOn(job, machineId)) {
       const taskName = `${jobId}/${String(allocation.task)}`;
       const key = taskKey(taskName, allocation.attempt);
@@ -52,30 +53,54 @@
       if (status?.phase === 'exited') {
         outcomes.push({ jobId, allocation, outcome: outcomeOf(status), evidence: 'exited' });
       } else if (status) {
-        const stop = stopIfUnwanted(job, allocation.task, status);
+        const stop = shouldRun(allocation.task) ? null : stopOf(job, status);
         if (stop) commands.push(stop);
-      } else if (shouldRun(job, allocation.task)) {
+      } else if (shouldRun(allocation.task)) {
         starts.push({ kind: 'start', taskName, attempt: allocation.attempt });
       } else {
         outcomes.push({ jobId, allocation, outcome: 'requeued', evidence: 'absent' });
       }
     }
   }
-  let unrecordedBytes = 0;
+  const unrecorded = unrecordedTasks(tasks, recorded);
+  commands.push(...commandsForUnrecorded(unrecorded, mayStartAgain));
+  // Starts come last, so that the tasks stopped or acknowledged before them have released their resources.
+  commands.push(...starts);
+  return { commands, outcomes, unrecordedBytes: statusBytesOf(unrecorded) };
+}
+
+/** A reported task with its `taskKey`. */
+type ReportedTask = readonly [key: string, status: TaskStatus];
+
+function unrecordedTasks(
+  tasks: ReadonlyMap<string, TaskStatus>,
+  recorded: ReadonlySet<string>,
+): ReportedTask[] {
+  const unrecorded: ReportedTask[] = [];
+  for (const [key, status] of tasks) if (!recorded.has(key)) unrecorded.push([key, status]);
+  return unrecorded;
+}
+
+function commandsForUnrecorded(
+  tasks: readonly ReportedTask[],
+  mayStartAgain: (key: string) => boolean,
+): WorkerCommand[] {
+  const commands: WorkerCommand[] = [];
   for (const [key, status] of tasks) {
-    if (recorded.has(key)) continue;
-    unrecordedBytes += taskStatusBytes(status.taskName);
     const command = commandForUnrecorded(key, status, mayStartAgain);
     if (command) commands.push(command);
   }
-  // Starts come last, so that the tasks stopped or acknowledged before them have released their resources.
-  commands.push(...starts);
-  return { commands, outcomes, unrecordedBytes };
+  return commands;
+}
+
+function statusBytesOf(tasks: readonly ReportedTask[]): number {
+  let bytes = 0;
+  for (const [, { taskName }] of tasks) bytes += taskStatusBytes(taskName);
+  return bytes;
 }
 
-/** The command that stops a recorded and reported task if it should no longer run. */
-function stopIfUnwanted(job: JobRecord, task: number, status: TaskStatus): WorkerCommand | null {
-  if (shouldRun(job, task)) return null;
+/** The command that stops a recorded and reported task; null if it is already saving a checkpoint. */
+function stopOf(job: JobRecord, status: TaskStatus): WorkerCommand | null {
   const mayCheckpoint = !job.cancelled && !job.gangDone;
   // A stop with a grace period has already made the task save a checkpoint: let it finish.
   if (mayCheckpoint && status.phase === 'checkpointing') return null;
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -82,6 +82,8 @@
   },
 ];
 
+const MAX_PREEMPTED_TASKS = 10;
+
 for (const { name, candidates, jobs, want } of PREEMPTIONS)
   void test(`preemption: ${name}`, () => {
     const planned = snapshot(candidates, jobs);
@@ -91,8 +93,12 @@
       Object.entries(jobs)
         .filter(([, record]) => machineId in record.allocationsByMachine)
         .map(([jobId]) => jobId);
-    const running = runningTasksOn(candidates, jobsOn, (jobId) => jobs[jobId]);
-    const preempted = selectPreemptions(planned, unplaced, running, 10);
+    const running = runningTasksOn(
+      candidates,
+      { jobsOn, jobOf: (jobId) => jobs[jobId] },
+      MAX_PREEMPTED_TASKS + 1,
+    );
+    const preempted = selectPreemptions(planned, unplaced, running, MAX_PREEMPTED_TASKS);
     const got = preempted.map(({ jobId, task }) => `${jobId}/${String(task)}`);
     assert.deepEqual(got, want);
   });
