--- a/review/lib-2/wire.js
+++ b/review/lib-2/wire.js
@@ -122,18 +122,20 @@
   }
 }
 
-/** Ports that were free a moment ago. */
+/** Ports that were free a moment ago, below those that the system gives to outgoing connections. */
 export async function freePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = net.createServer();
-    await new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    servers.push(server);
+  const ports = new Set();
+  for (let tries = 0; ports.size < count && tries < 1000; tries++) {
+    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
   }
-  const ports = servers.map(portOf);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  return [...ports];
+}
+
+function isFree(port) {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
