review: case 8, a done task of a cancelled job is started again by a repeated request

Cause: the attempt of a done task is forgotten while a late copy of its start may still be carried out.

--- a/review/8/run.js
+++ b/review/8/run.js
@@ -1,89 +1,90 @@
-// A replica of a critical service waits while the GPU machine has room for it.
-import { holdersOf, runCase, sleep, watchWaiting } from '../lib-2/deployment.js';
+/* eslint-disable */
+// A completed task of a cancelled job is started again by a repeated request, long after the cancellation.
+import { holdersOf, runCase, sleep } from '../lib-2/deployment.js';
 
-const SILL = {
-  sku: 'sill',
-  cpus: 4,
+const TRELLIS = {
+  sku: 'trellis',
+  cpus: 8,
   cards: 0,
   memory_gb: 32,
   cache_gb: 50,
   pull_gb_per_s: 1,
-  rate: 0.24,
-  low_price: 0.06,
-  ready_s: 50,
-  sites: ['abbotsford', 'langley'],
-};
-const LAMPBOX = {
-  sku: 'lampbox',
-  cpus: 12,
-  cards: 2,
-  memory_gb: 48,
-  cache_gb: 50,
-  pull_gb_per_s: 1,
-  rate: 4.79,
-  low_price: 1.35,
-  ready_s: 30,
+  rate: 0.46,
+  low_price: 0.11,
+  ready_s: 25,
   sites: ['abbotsford', 'langley'],
 };
 const TEAM = { name: 'cedar-tomato', cpus: 48, cpus_max: 136, gpus: 2, gpus_max: 6 };
 
-/** The rule's bound. */
-const LIMIT_S = 90;
-/** 9.6 jobs a minute: four times 2.4. */
-const BURST_INTERVAL_S = 6.25;
-
 const options = {
-  flavors: [SILL, LAMPBOX],
+  flavors: [TRELLIS],
   teams: [TEAM],
-  machines: [
-    { flavor: 'sill', site: 'abbotsford', reclaimable: false },
-    { flavor: 'lampbox', site: 'langley', reclaimable: false },
-  ],
+  machines: [{ flavor: 'trellis', site: 'abbotsford', reclaimable: false }],
 };
 
-const VENT = {
-  jobclass: 'vent-setpoint',
-  shape: 'standing',
-  rank: 'critical',
-  expect_s: 0,
-};
+const SERVICE = 'j-000001';
+const ARRAY = 'j-000002';
+const FIRST_TASK = `${ARRAY}/0`;
+/** `cancel_s` of the settings. */
+const CANCEL_S = 39;
+/** Time after it, and time for the copy to be carried out. */
+const MARGIN_S = 1;
+const AFTER_S = 8;
 
 await runCase(import.meta.url, options, async (deployment, trouble) => {
-  const runs = (uid) =>
-    deployment.waitFor(`${uid} runs`, 20, () => holdersOf(deployment, uid).length > 0);
-  // A yield model on the GPU machine leaves 2 CPUs and 10 GB of it free.
-  await deployment.submit('j-000001', 600, {
-    jobclass: 'yield-model',
-    shape: 'group',
-    rank: 'urgent',
-    cpus: 10,
-    cards: 2,
-    memory_gb: 38,
-    image: 'img-09',
-    image_gb: 1.2,
-    one_zone: true,
-    expect_s: 600,
-    snapshot_s: 20,
-    flush_s: 2,
+  const [machine] = deployment.workers.values();
+  const carriedOut = [];
+  const starts = [];
+  deployment.commandListeners.push((_, body) => carriedOut.push(structuredClone(body)));
+  deployment.listeners.push((kind, worker, task) => {
+    if (kind === 'started' && task.uid === ARRAY) starts.push({ at: performance.now(), task });
   });
-  await runs('j-000001');
-  await deployment.submit('j-000002', 0, VENT);
-  await runs('j-000002');
-  // 2.4 a minute come on an ordinary day: one more within the run. In the burst they come four times as often.
-  const last = trouble ? 'j-000004' : 'j-000003';
-  for (const uid of trouble ? ['j-000003', 'j-000004'] : ['j-000003']) {
-    await sleep(BURST_INTERVAL_S * 1000);
-    await deployment.submit(uid, 0, VENT);
-  }
-  if (trouble) deployment.note('no further job comes: the burst is over');
-  const watched = await watchWaiting(deployment, last, {
-    limitS: LIMIT_S,
-    maxS: LIMIT_S + 5,
-    team: TEAM,
+  // A service keeps the machine in use, so that nobody gives it back as idle.
+  await deployment.submit(SERVICE, 0, {
+    jobclass: 'vent-setpoint',
+    shape: 'standing',
+    rank: 'critical',
+    expect_s: 0,
   });
-  if (watched.waitedS < LIMIT_S) {
-    await runs(last);
-    return null;
+  await deployment.submit(ARRAY, (task) => (task === FIRST_TASK ? 1 : 600), { tasks: 2 });
+  const reports = (name) => [...machine.tasks.values()].some((task) => task.name === name);
+  await deployment.waitFor('both tasks have started', 20, () => starts.length === 2);
+  await deployment.waitFor(
+    'the first one is done, and the worker was told to forget it',
+    20,
+    () => {
+      return !reports(FIRST_TASK);
+    },
+  );
+  const answer = await deployment.cancel(ARRAY);
+  const toldAt = performance.now();
+  if (answer.body.phase !== 'cancelled') throw new Error('not cancelled');
+  await deployment.waitFor(
+    'the second one is gone',
+    39,
+    () => holdersOf(deployment, ARRAY).length === 0,
+  );
+  await sleep(toldAt + (CANCEL_S + MARGIN_S) * 1000 - performance.now());
+  if (trouble) {
+    const owner = [...deployment.nodes.keys()][machine.node % deployment.nodes.size];
+    deployment.kill(owner);
+    setTimeout(() => deployment.startController(owner), 3000);
+    const copy = carriedOut.find(({ orders }) => {
+      return orders.some(({ verb, task }) => verb === 'launch' && task === FIRST_TASK);
+    });
+    deployment.note(`a copy of a request of ${owner} arrives: ${JSON.stringify(copy)}`);
+    const { status } = await deployment.client.call(
+      machine.address,
+      'POST',
+      '/commands',
+      copy,
+      2000,
+    );
+    deployment.note(`the worker answers ${status}`);
   }
-  return `${last} was left waiting for ${watched.waitedS.toFixed(0)} s, with room on ${watched.room}`;
+  await sleep(AFTER_S * 1000);
+  const late = starts.filter(({ at }) => at > toldAt + CANCEL_S * 1000);
+  if (late.length === 0) return null;
+  const seconds = (late[0].at - toldAt) / 1000;
+  return `${late[0].task.name} started ${seconds.toFixed(1)} s after its user was told that the job is cancelled`;
 });
--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -47,8 +47,8 @@
     this.workers = new Map();
     this.nodes = new Map();
     this.jobs = new Map();
-    this.gangs = new Map();
     this.listeners = [];
+    this.commandListeners = [];
     this.client = new Client(16);
     this.settings = this.options.workers;
     process.on('exit', () => this.killAll());
@@ -71,8 +71,12 @@
   specOf(uid) {
     return this.jobs.get(uid)?.spec;
   }
-  runSecondsOf(uid) {
-    return this.jobs.get(uid)?.runSeconds ?? 1;
+  runSecondsOf(uid, task) {
+    const run = this.jobs.get(uid)?.runSeconds ?? 1;
+    return typeof run === 'function' ? run(task) : run;
+  }
+  commanded(worker, body) {
+    for (const listener of this.commandListeners) listener(worker, body);
   }
   event(kind, worker, task) {
     for (const listener of this.listeners) listener(kind, worker, task);
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -10,8 +10,8 @@
 
 export class Worker {
   /**
-   * `world` has: `nodes` (name to address), `settings` (report_s, lease_s, gang_wait_s, gang_peer_s), `specOf(uid)`,
-   * `runSecondsOf(uid)`, `gangs`, `note(text)` and `event(kind, worker, task)`.
+   * `world` has: `nodes` (name to address), `settings` (report_s, lease_s), `specOf(uid)`,
+   * `runSecondsOf(uid, task)`, `note(text)`, `event(kind, worker, task)` and `commanded(worker, body)`.
    */
   constructor(box, type, world) {
     Object.assign(this, { box, type, world });
@@ -140,6 +140,7 @@
   handle({ method, path, body }) {
     if (method === 'GET' && path === '/status') return { status: 200, body: this.status() };
     if (path !== '/commands') return { status: 404, body: {} };
+    this.world.commanded(this, body);
     if (typeof body.epoch !== 'number' || typeof body.tenure !== 'number')
       return { status: 400, body: {} };
     if (body.epoch < this.epoch || body.tenure !== this.tenure)
@@ -204,7 +205,9 @@
     this.event('started', task);
     if (this.sick) return this.later(task, SICK_AFTER_MS, () => this.exit(task, 'error'));
     if (task.spec.shape === 'standing') return;
-    const runMs = this.results.has(task.name) ? 1 : this.world.runSecondsOf(task.uid) * 1000;
+    const runMs = this.results.has(task.name)
+      ? 1
+      : this.world.runSecondsOf(task.uid, task.name) * 1000;
     this.later(task, runMs, () => {
       this.results.add(task.name);
       this.exit(task, 'done');
