--- a/review/7/run.js
+++ b/review/7/run.js
@@ -72,7 +72,7 @@
   // 2.4 a minute come on an ordinary day: one more within the run. In the burst they come four times as often.
   const last = trouble ? 'j-000004' : 'j-000003';
   for (const uid of trouble ? ['j-000003', 'j-000004'] : ['j-000003']) {
-    await sleep(BURST_INTERVAL_S * 1000);
+    if (uid === 'j-000004') await sleep(BURST_INTERVAL_S * 1000);
     await deployment.submit(uid, 0, VENT);
   }
   if (trouble) deployment.note('no further job comes: the burst is over');
--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -51,7 +51,10 @@
     this.commandListeners = [];
     this.client = new Client(16);
     this.settings = this.options.workers;
-    process.on('exit', () => this.killAll());
+    process.on('exit', () => {
+      this.killAll();
+      rmSync(this.temp, { recursive: true, force: true });
+    });
     for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(2));
     this.watchdog = setTimeout(() => {
       this.note('the run took too long');
@@ -207,9 +210,9 @@
     });
     this.children.set(name, child);
     const log = join(this.temp, `${name}.log`);
-    child.stderr.on('data', (bytes) =>
-      appendFileSync(process.env.KEEP_LOGS ? `${process.env.KEEP_LOGS}/${name}.log` : log, bytes),
-    );
+    child.stderr.on('data', (bytes) => {
+      if (this.children.get(name) === child) appendFileSync(log, bytes);
+    });
     child.on('error', (error) => this.note(`${name}: ${error.message}`));
     child.on('exit', (code, signal) => {
       if (this.children.get(name) !== child) return;
