A worker forgets a task only in a message that fences its start

With a team at its limit, the users saw quota broken the same way, without a cancellation or a restart.

Cause: a worker was told to forget a done task under the token of its start, so nothing refused a copy. Stopped and failed tasks waited for a raised token, but only while a set in memory named them, and acknowledging a task removed it.

A message that lets a worker forget anything carries a higher token of the range than every start sent so far: the worker forgets and fences in one step, however the task ended. No set of started tasks, no writes for stopped tasks. The next range is taken, for all machines that need one together, when one is nearly used up.

The checker reports started_again everywhere.

--- a/src/domain/machine-transfer.ts
+++ b/src/domain/machine-transfer.ts
@@ -3,7 +3,8 @@
 import type { Condition, Transaction, Write } from '../store/client.js';
 import type { Proposal } from '../store/commit-loop.js';
 import { allocationConditions } from '../store/allocation-conditions.js';
-import { encodeDomainHead, encodeFencingToken, keys } from '../store/records/index.js';
+import { nextFencingTokenRange } from '../store/fencing-token-counter.js';
+import { encodeDomainHead, keys } from '../store/records/index.js';
 import type { AllocationAdopter } from './allocation-adopter.js';
 import type { DomainContext } from './context.js';
 import type { MachineOwnership } from './machine-ownership.js';
@@ -78,7 +79,7 @@
     const { from, domain, machineIds } = request;
     const { state, ownDomain } = this.context;
     const { controller, record: own } = ownDomain;
-    const fencingToken = state.fencingToken + 1;
+    const { fencingToken, condition, write } = nextFencingTokenRange(state);
     const quota = this.quotaAfter(request, own);
     const shardWrites = [
       ...this.ownership.shardWrites(from, { drop: machineIds }),
@@ -87,7 +88,7 @@
       }),
     ];
     return {
-      conditions: this.conditionsFor(request, shardWrites),
+      conditions: [...this.conditionsFor(request, shardWrites), condition],
       writes: [
         { put: keys.domain(from), value: encodeDomainHead({ ...domain, quota: quota.giver }) },
         {
@@ -95,7 +96,7 @@
           value: encodeDomainHead({ ...own, quota: quota.receiver }),
         },
         ...shardWrites,
-        { put: keys.fencingToken, value: encodeFencingToken(fencingToken) },
+        write,
       ],
     };
   }
@@ -122,7 +123,6 @@
     const ownerIsDead: Condition = { key: keys.liveness(from), modRevision: 0 };
     return [
       ownDomain.ownershipCondition(),
-      state.unchangedCondition(keys.fencingToken),
       state.unchangedCondition(keys.domain(from)),
       ...allocationConditions(state, from, options.maxWrites),
       ...state.unchangedConditions(shardWrites),
--- a/src/domain/registration.ts
+++ b/src/domain/registration.ts
@@ -3,12 +3,8 @@
 import type { Proposal } from '../store/commit-loop.js';
 import type { Domain } from '../model/domain.js';
 import type { TeamQuota } from '../model/team.js';
-import {
-  encodeDomainHead,
-  encodeFencingToken,
-  encodeLiveness,
-  keys,
-} from '../store/records/index.js';
+import { nextFencingTokenRange } from '../store/fencing-token-counter.js';
+import { encodeDomainHead, encodeLiveness, keys } from '../store/records/index.js';
 import type { AllocationAdopter } from './allocation-adopter.js';
 import type { DomainContext } from './context.js';
 import type { LivenessLease } from './liveness-lease.js';
@@ -47,11 +43,11 @@
     if (ownDomain.isRegistered || lease.id === null || selfFencing.isReleased) return null;
     const before = ownDomain.record;
     const incarnation = before.incarnation + 1;
-    const fencingToken = state.fencingToken + 1;
+    const { fencingToken, condition, write } = nextFencingTokenRange(state);
     const newTeams = this.teamsWithoutQuota(before);
     const conditions = [
       ownDomain.ownershipCondition(),
-      state.unchangedCondition(keys.fencingToken),
+      condition,
       // An initial quota may be assigned only if the quotas of the other domains have not changed.
       ...(newTeams.length > 0 ? this.peerConditions() : []),
     ];
@@ -68,7 +64,7 @@
             value: encodeLiveness({ incarnation }),
             lease: lease.id,
           },
-          { put: keys.fencingToken, value: encodeFencingToken(fencingToken) },
+          write,
         ],
       },
       onSettled: (outcome) => {
--- a/src/domain/unowned-machines.ts
+++ b/src/domain/unowned-machines.ts
@@ -4,12 +4,8 @@
  */
 import type { CommitOutcome, Transaction, Write } from '../store/client.js';
 import type { Proposal } from '../store/commit-loop.js';
-import {
-  encodeFencingToken,
-  encodeFirstClaims,
-  encodeMachineBatch,
-  keys,
-} from '../store/records/index.js';
+import { nextFencingTokenRange, type FencingTokenRange } from '../store/fencing-token-counter.js';
+import { encodeFirstClaims, encodeMachineBatch, keys } from '../store/records/index.js';
 import { VALUE_FILL_RATIO } from '../store/transaction-limits.js';
 import { getOrAdd } from '../util/maps.js';
 import { compareNames } from '../util/order.js';
@@ -72,8 +68,7 @@
     const incarnationToken = ownDomain.record.fencingToken;
     // A machine must get a fencing token that is higher than all that its worker has seen.
     const needsNewToken = requests.some(({ fencingToken }) => fencingToken >= incarnationToken);
-    const fencingToken = needsNewToken ? state.fencingToken + 1 : incarnationToken;
-    return this.claim(requests, fencingToken, needsNewToken);
+    return this.claim(requests, incarnationToken, needsNewToken && nextFencingTokenRange(state));
   }
 
   /**
@@ -102,14 +97,18 @@
   /** Claims as many machines as fit into one transaction; the others follow in the next. */
   private claim(
     requests: readonly ClaimRequest[],
-    fencingToken: number,
-    needsNewToken: boolean,
+    incarnationToken: number,
+    newRange: FencingTokenRange | false,
   ): Proposal {
     const { maxWrites } = this.context.options;
+    const fencingToken = newRange ? newRange.fencingToken : incarnationToken;
     for (let count = requests.length; ; count = Math.ceil(count / 2)) {
       const claimed = requests.slice(0, count);
       const transaction = this.claimTransaction(claimed, fencingToken);
-      if (needsNewToken) this.raiseFencingToken(transaction, fencingToken);
+      if (newRange) {
+        transaction.conditions.push(newRange.condition);
+        transaction.writes.push(newRange.write);
+      }
       if (count > 1 && !fitsTransactionLimits(transaction, maxWrites)) continue;
       const machineIds = claimed.map(({ machineId }) => machineId);
       return {
@@ -136,14 +135,6 @@
     );
   }
 
-  private raiseFencingToken(transaction: Transaction, fencingToken: number): void {
-    transaction.conditions.push(this.context.state.unchangedCondition(keys.fencingToken));
-    transaction.writes.push({
-      put: keys.fencingToken,
-      value: encodeFencingToken(fencingToken),
-    });
-  }
-
   private claimTransaction(claimed: readonly ClaimRequest[], fencingToken: number): Transaction {
     const { options, state, ownDomain } = this.context;
     const fencingTokens = new Map(claimed.map(({ machineId }) => [machineId, fencingToken]));
--- a/src/metrics.ts
+++ b/src/metrics.ts
@@ -19,7 +19,7 @@
 export interface GaugeValues {
   /** Incarnation under which this controller holds its domain, 0 if it does not hold it. */
   incarnation(): number;
-  /** Highest fencing token in the records. */
+  /** Last fencing token that was taken. */
   fencingToken(): number;
   /** Seconds until the liveness lease expires, as tracked by this process. */
   leaseSeconds(): number;
@@ -158,7 +158,7 @@
   },
   {
     name: 'term',
-    help: 'Highest fencing token in the records.',
+    help: 'Last fencing token that was taken; tokens are taken in ranges.',
     read: (values) => values.fencingToken(),
   },
   {
--- a/src/workers/command-dispatcher.ts
+++ b/src/workers/command-dispatcher.ts
@@ -4,6 +4,7 @@
 import type { Heartbeat, WorkerCommand } from '../model/worker.js';
 import { decodeHeartbeat, encodeCommandRequest } from '../protocol/workers.js';
 import { NoAnswer, NotSent } from '../wire/client.js';
+import { isAcknowledgement, withFencedAcknowledgements } from './acknowledgements.js';
 import type { Connectivity } from './connectivity.js';
 import { MAX_COMMANDS, type MachineReconciler } from './machine-reconciler.js';
 import { taskKey } from './reconciliation.js';
@@ -53,11 +54,11 @@
       return;
     }
     if (session.retryAt > this.dependencies.clock.now() || session.address === '') return;
-    const commands = session.fenced ? this.commandsFor(session) : [];
+    const needed = session.fenced ? this.commandsFor(session) : [];
     // Acknowledgements alone are not worth a request: the answer to the next heartbeat carries them.
-    if (session.fenced && commands.every(({ kind }) => kind === 'acknowledge')) return;
-    for (const { kind, taskName, attempt } of commands)
-      if (kind === 'start') session.startedTasks.add(taskKey(taskName, attempt));
+    if (session.fenced && needed.every(isAcknowledgement)) return;
+    const commands = withFencedAcknowledgements(session, needed);
+    if (commands.some(({ kind }) => kind === 'start')) session.tokens.noteStart();
     session.requestInFlight = true;
     void this.send(session, commands).finally(() => {
       this.requestEnded(session);
@@ -70,8 +71,8 @@
   }
 
   private async send(session: WorkerSession, commands: readonly WorkerCommand[]): Promise<void> {
-    const { fencingToken, workerIncarnation } = session;
-    const fence: RequestFence = { fencingToken, workerIncarnation };
+    const { tokens, workerIncarnation } = session;
+    const fence: RequestFence = { fencingToken: tokens.current, workerIncarnation };
     try {
       const answer = await this.request(session, fence, commands);
       this.dependencies.connectivity.noteContact();
--- a/src/workers/heartbeat-authorizer.ts
+++ b/src/workers/heartbeat-authorizer.ts
@@ -1,6 +1,7 @@
 /** Decides whether this controller may answer a worker's heartbeat; an answer renews the worker's lease. */
 import { withTimeout, type Clock } from '../clock.js';
 import type { DomainManager } from '../domain/manager.js';
+import { lastTokenOfRange } from '../model/fencing-token.js';
 import type { Heartbeat } from '../model/worker.js';
 import type { Owner } from '../store/ownership-index.js';
 import type { State } from '../store/state.js';
@@ -16,6 +17,7 @@
 
 /** Whether this controller may answer a heartbeat. */
 export type HeartbeatAuthorization =
+  /** `fencingToken` is the first of the range under which this controller owns the machine. */
   | { kind: 'authorized'; fencingToken: number }
   /** Another controller owns the machine; `owner` is undefined if it is not known which. */
   | { kind: 'redirected'; owner: string | undefined }
@@ -65,7 +67,8 @@
     if (fencingToken === null || peers.hasLeftDomain(machineId)) return UNSETTLED;
     // The worker has seen a higher token, so another controller owns the machine now. The worker would ignore an answer
     // from here, but keep sending its heartbeats to this controller until its lease runs out.
-    if (heartbeat.fencingToken > fencingToken) return { kind: 'redirected', owner: undefined };
+    if (heartbeat.fencingToken > lastTokenOfRange(fencingToken))
+      return { kind: 'redirected', owner: undefined };
     return { kind: 'authorized', fencingToken };
   }
 
--- a/src/workers/machine-reconciler.ts
+++ b/src/workers/machine-reconciler.ts
@@ -4,7 +4,7 @@
 import { splitTaskName } from '../protocol/workers.js';
 import type { State } from '../store/state.js';
 import type { PeerReports } from './peer-reports.js';
-import { reconcileMachine, taskKey, type ProvenOutcome } from './reconciliation.js';
+import { reconcileMachine, type ProvenOutcome } from './reconciliation.js';
 import type { SessionStore } from './session-store.js';
 import type { TaskOutcomes } from './task-outcomes.js';
 import type { WorkerSession } from './worker-session.js';
@@ -30,10 +30,8 @@
       session.machineId,
       session.tasks,
       this.jobsOn(session.machineId),
-      (key) => session.startedTasks.has(key),
     );
     session.unrecordedBytes = unrecordedBytes;
-    forgetAcknowledged(session, commands);
     for (const outcome of outcomes) this.addOutcome(session, outcome);
     return this.executable(session.machineId, commands);
   }
@@ -77,9 +75,3 @@
     return this.outcomes.has(jobId, { machine: machineId, task, attempt });
   }
 }
-
-/** Removes acknowledged tasks from `startedTasks`, which would otherwise grow with every start. */
-function forgetAcknowledged(session: WorkerSession, commands: readonly WorkerCommand[]): void {
-  for (const { kind, taskName, attempt } of commands)
-    if (kind === 'acknowledge') session.startedTasks.delete(taskKey(taskName, attempt));
-}
--- a/src/workers/manager.ts
+++ b/src/workers/manager.ts
@@ -10,6 +10,7 @@
 import type { Caller } from '../wire/client.js';
 import type { Body } from '../wire/codec.js';
 import type { Reply } from '../wire/server.js';
+import { withFencedAcknowledgements } from './acknowledgements.js';
 import { AddressRecorder } from './address-recorder.js';
 import { CommandDispatcher } from './command-dispatcher.js';
 import { Connectivity } from './connectivity.js';
@@ -106,13 +107,12 @@
     // The answer may renew the worker's lease, so it counts as contact from when it is sent, even if it gets lost.
     session.lastContactAt = this.dependencies.clock.now();
     // Starts are sent only by /commands, where each of them has a known outcome or a fence.
-    const answered = commands.filter(({ kind }) => kind !== 'start');
-    if (answered.length < commands.length || !session.fenced)
+    const withoutStarts = commands.filter(({ kind }) => kind !== 'start');
+    const answered = withFencedAcknowledgements(session, withoutStarts);
+    const token = session.tokens.current;
+    if (withoutStarts.length < commands.length || !session.fenced)
       this.dispatcher.requestReconcile(session);
-    return {
-      status: 200,
-      body: encodeHeartbeatAnswer(authorization.fencingToken, answered),
-    };
+    return { status: 200, body: encodeHeartbeatAnswer(token, answered) };
   }
 
   /** Called when these machines have changed owners or fencing tokens. */
@@ -239,9 +239,9 @@
 
   private makeFencingTokenRaiser(): FencingTokenRaiser {
     const { state, clock, domainManager } = this.dependencies;
-    const { heartbeatIntervalMs, leaseMs } = this.options;
+    const { heartbeatIntervalMs, leaseMs, maxWrites } = this.options;
     return new FencingTokenRaiser(
-      { heartbeatIntervalMs, stoppedTasksCheckMs: leaseMs },
+      { heartbeatIntervalMs, rangeCheckMs: leaseMs, maxWrites },
       { state, clock, domainManager, sessions: this.sessions },
     );
   }
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -36,8 +36,6 @@
   machineId: string,
   tasks: ReadonlyMap<string, TaskStatus>,
   jobs: Iterable<readonly [string, JobRecord]>,
-  /** Whether a late copy of the task's start request could still be executed. */
-  mayStartAgain: (key: string) => boolean = () => false,
 ): Reconciliation {
   const commands: WorkerCommand[] = [];
   const outcomes: ProvenOutcome[] = [];
@@ -63,7 +61,7 @@
     }
   }
   const unrecorded = unrecordedTasks(tasks, recorded);
-  commands.push(...commandsForUnrecorded(unrecorded, mayStartAgain));
+  for (const [, status] of unrecorded) commands.push(commandForUnrecorded(status));
   // Starts come last, so that the tasks stopped or acknowledged before them have released their resources.
   commands.push(...starts);
   return { commands, outcomes, unrecordedBytes: statusBytesOf(unrecorded) };
@@ -81,18 +79,6 @@
   return unrecorded;
 }
 
-function commandsForUnrecorded(
-  tasks: readonly ReportedTask[],
-  mayStartAgain: (key: string) => boolean,
-): WorkerCommand[] {
-  const commands: WorkerCommand[] = [];
-  for (const [key, status] of tasks) {
-    const command = commandForUnrecorded(key, status, mayStartAgain);
-    if (command) commands.push(command);
-  }
-  return commands;
-}
-
 function statusBytesOf(tasks: readonly ReportedTask[]): number {
   let bytes = 0;
   for (const [, { taskName }] of tasks) bytes += taskStatusBytes(taskName);
@@ -109,18 +95,11 @@
   return { kind: 'stop', taskName, attempt, gracePeriodSeconds };
 }
 
-/** The command for a task that the worker reports and that is not recorded on its machine; null if none is needed. */
-function commandForUnrecorded(
-  key: string,
-  status: TaskStatus,
-  mayStartAgain: (key: string) => boolean,
-): WorkerCommand | null {
-  const { taskName, attempt } = status;
+/** The command for a task that the worker reports and that is not recorded on its machine. */
+function commandForUnrecorded({ taskName, attempt, phase }: TaskStatus): WorkerCommand {
   // No allocation is recorded for this task, so it must not run here.
-  if (status.phase !== 'exited') return { kind: 'stop', taskName, attempt, gracePeriodSeconds: 0 };
-  // The outcome is committed, so the worker may forget the task. But a stopped task may already run on another machine:
-  // while a late copy of its start may still arrive, forgetting the task here would let that copy run it again.
-  if (status.exitReason !== 'done' && mayStartAgain(key)) return null;
+  if (phase !== 'exited') return { kind: 'stop', taskName, attempt, gracePeriodSeconds: 0 };
+  // The outcome is committed, so the worker may forget the task (see `withFencedAcknowledgements`).
   return { kind: 'acknowledge', taskName, attempt };
 }
 
--- a/src/workers/worker-session.ts
+++ b/src/workers/worker-session.ts
@@ -1,5 +1,7 @@
 /** A controller's state about the worker on one machine of its domain. */
 import type { Heartbeat, TaskStatus } from '../model/worker.js';
+import { lastTokenOfRange } from '../model/fencing-token.js';
+import { CommandTokens } from './command-tokens.js';
 import { indexTasks } from './reconciliation.js';
 
 /** A worker executes a command request only if its own fencing token and incarnation match the request's fence. */
@@ -8,13 +10,16 @@
   workerIncarnation: number;
 }
 
-/** State of one machine's worker, under one fencing token at a time. */
+/** State of one machine's worker, under one range of fencing tokens at a time. */
 export interface WorkerSession {
   readonly machineId: string;
   /** Address at which the worker can be called, as recorded or last reported; empty if unknown. */
   address: string;
+  /** First token of the range under which the machine is owned. */
   fencingToken: number;
-  /** Clock time at which this process became the machine's owner under this token, in milliseconds. */
+  /** Tokens of the messages to the worker, within that range. */
+  tokens: CommandTokens;
+  /** Clock time at which this process became the machine's owner under this range, in milliseconds. */
   ownedSince: number;
   /** Store revision at which it became the owner, or a later one. */
   ownedAtRevision: number;
@@ -25,9 +30,7 @@
   tasks: Map<string, TaskStatus>;
   /** Bytes in the heartbeats of those tasks that are not recorded on the machine; most of them have ended. */
   unrecordedBytes: number;
-  /** Tasks started under the current token and incarnation; a copy of such a start request may still arrive late. */
-  startedTasks: Set<string>;
-  /** Whether the worker has reported this token, so that it refuses commands sent under a lower one. */
+  /** Whether the worker has reported a token of the range, so that it refuses commands of earlier owners. */
   fenced: boolean;
   /** Time of the last heartbeat, or of the last answer that may have renewed the worker's lease. */
   lastContactAt: number;
@@ -56,12 +59,12 @@
 ): WorkerSession {
   return {
     ...initial,
+    tokens: new CommandTokens(initial.fencingToken),
     ownedSince: now,
     workerIncarnation: 0,
     sequence: 0,
     tasks: new Map(),
     unrecordedBytes: 0,
-    startedTasks: new Set(),
     fenced: false,
     lastContactAt: now,
     preemptionAnnounced: false,
@@ -75,7 +78,7 @@
   };
 }
 
-/** Moves a session to another fencing token, which the worker has not reported yet. */
+/** Moves a session to another range of fencing tokens, of which the worker has not reported any yet. */
 export function changeFencingToken(
   session: WorkerSession,
   fencingToken: number,
@@ -83,6 +86,7 @@
   now: number,
 ): void {
   session.fencingToken = fencingToken;
+  session.tokens = new CommandTokens(fencingToken);
   session.ownedSince = now;
   session.ownedAtRevision = ownedAtRevision;
   session.fenced = false;
@@ -93,7 +97,6 @@
 export function applyHeartbeat(session: WorkerSession, heartbeat: Heartbeat, now: number): boolean {
   if (isOutdated(session, heartbeat)) return false;
   session.address = heartbeat.address;
-  if (heartbeat.workerIncarnation > session.workerIncarnation) session.startedTasks.clear();
   session.workerIncarnation = heartbeat.workerIncarnation;
   session.sequence = heartbeat.sequence;
   session.tasks = indexTasks(heartbeat.tasks);
@@ -116,9 +119,10 @@
 
 function updateFence(session: WorkerSession, reportedToken: number): void {
   if (reportedToken < session.fencingToken) session.fenced = false;
-  if (reportedToken !== session.fencingToken) return;
-  if (!session.fenced) session.startedTasks.clear();
-  session.fenced = true;
+  else if (reportedToken <= lastTokenOfRange(session.fencingToken)) {
+    session.fenced = true;
+    session.tokens.noteReported(reportedToken);
+  }
 }
 
 /** Whether the heartbeat shows that the worker can no longer execute a request with this fence. */
--- a/test/fakes/checker.ts
+++ b/test/fakes/checker.ts
@@ -128,6 +128,11 @@
     }
   }
 
+  /** Called when a worker starts an attempt that it has started before in its incarnation, and has forgotten since. */
+  attemptStartedAgain(task: RunningTask, attempt: number, now: number): void {
+    this.addViolation('started_again', reservationName(task, attempt), now);
+  }
+
   /** Called when a worker accepts a start command. The task occupies resources already while its image is fetched. */
   taskLaunched(task: RunningTask, attempt: number, now: number): void {
     this.reservations.set(reservationName(task, attempt), task);
--- a/test/fakes/task-runner.ts
+++ b/test/fakes/task-runner.ts
@@ -50,6 +50,10 @@
 export class TaskRunner {
   /** Task and attempt of every start command that was executed. */
   readonly startedTasks: string[] = [];
+  /** Values of the protocol's `cause` field with which tasks have exited. */
+  readonly exitReasons = new Set<string>();
+  /** Attempts started since all tasks were last killed. */
+  private readonly startedAttempts = new Set<string>();
   private tasks = new Map<string, FakeTask>();
   private readonly cachedImages = new Set<string>();
 
@@ -76,6 +80,7 @@
   killAll(): void {
     for (const task of this.tasks.values()) this.release(task, false);
     this.tasks = new Map();
+    this.startedAttempts.clear();
   }
 
   start(name: string, attempt: number): void {
@@ -92,6 +97,7 @@
       runner: this,
     };
     this.startedTasks.push(keyOf(name, attempt));
+    this.noteAttempt(task);
     const spec = this.environment.jobSpec(jobId);
     const active = this.activeTasks();
     this.tasks.set(keyOf(name, attempt), task);
@@ -135,6 +141,15 @@
     return free;
   }
 
+  /** Reports an attempt that was started before and has been forgotten since. */
+  private noteAttempt(task: FakeTask): void {
+    const { checker, time } = this.environment;
+    const key = keyOf(task.name, task.attempt);
+    if (this.startedAttempts.has(key))
+      checker.attemptStartedAgain(this.runningTask(task), task.attempt, time.now);
+    this.startedAttempts.add(key);
+  }
+
   private activeTasks(): FakeTask[] {
     return this.list().filter(({ phase }) => phase !== 'exited');
   }
@@ -230,6 +245,7 @@
   private exit(task: FakeTask, reason: string): void {
     if (task.phase === 'exited') return;
     task.exitReason = reason;
+    this.exitReasons.add(reason);
     this.release(task, reason === 'done');
     this.setPhase(task, 'exited');
     if (reason === 'done') this.environment.onTaskDone(task.jobId);
--- a/test/fakes/worker.ts
+++ b/test/fakes/worker.ts
@@ -73,6 +73,16 @@
     return this.runner.startedTasks;
   }
 
+  /** Number of tasks in a heartbeat, including those that have exited and are not acknowledged. */
+  get reportedTasks(): number {
+    return this.runner.list().length;
+  }
+
+  /** See `TaskRunner.exitReasons`. */
+  get exitReasons(): ReadonlySet<string> {
+    return this.runner.exitReasons;
+  }
+
   /** Resources of the machine that are not used by any task. */
   free(): Resources {
     return this.runner.free();
