Late starts: checks of each disruption, short cuts, and repeated commands in the soak

A ninth cuts all machines off for 0.8 s, again and again. The soak draws copies of command requests, which reach real controllers' workers up to two leases late.

--- a/src/domain/own-domain.ts
+++ b/src/domain/own-domain.ts
@@ -9,7 +9,7 @@
 /** The state that a decision is based on, for the log. */
 export interface DecisionContext {
   incarnation: number;
-  /** Highest fencing token in the records. */
+  /** Last fencing token that was taken. */
   fencingToken: number;
   /** Time left of the liveness lease, in milliseconds. */
   leaseRemainingMs: number;
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -50,6 +50,8 @@
   world: World;
   /** Machine -> the controllers that have owned it, sampled each second from the disruption on. */
   owners: Map<string, Set<string>>;
+  /** Incarnations of all controllers at the disruption. */
+  incarnationsBefore: number;
 }
 
 const exitsWith = (world: World, reason: string): boolean =>
@@ -150,22 +152,38 @@
   partition(world, 14, 'hold', (from, to) => names.includes(from) || names.includes(to));
 };
 
+/** Sum of the incarnations under which the controllers have held their domains. */
+const controllerIncarnations = (world: World): number =>
+  world
+    .hosts()
+    .map((host) => Number(world.store.peek(`tv/dom/${host}`)?.['inc'] ?? 0))
+    .reduce((sum, incarnation) => sum + incarnation, 0);
+
+const restarts = ({ world, incarnationsBefore }: Run): number =>
+  controllerIncarnations(world) - incarnationsBefore;
+
+const wasTakenFrom = (host: string, { owners }: Run): boolean =>
+  [...owners.values()].some((hosts) => hosts.has(host) && hosts.size > 1);
+
 const DISRUPTIONS: Disruption[] = [
-  { name: 'its controller lives', inject: () => undefined, tookPlace: () => true },
+  {
+    name: 'its controller lives',
+    inject: () => undefined,
+    tookPlace: (run) => restarts(run) === 0 && !hasNewIncarnation(run.world),
+  },
   {
     name: 'its controller ends and others take the machine over',
     inject(world) {
       world.kill('a', NEVER_MS);
     },
-    tookPlace: ({ owners }) =>
-      [...owners.values()].some((hosts) => hosts.has('a') && hosts.size > 1),
+    tookPlace: (run) => wasTakenFrom('a', run),
   },
   {
     name: 'all controllers are back within a second',
     inject(world) {
       for (const host of world.hosts()) world.kill(host, 400);
     },
-    tookPlace: () => true,
+    tookPlace: (run) => restarts(run) >= 3 && !hasNewIncarnation(run.world),
   },
   {
     name: 'one controller after the other is back within a second, again and again',
@@ -175,7 +193,7 @@
           world.kill(world.hosts()[index % 3] ?? '', 600);
         });
     },
-    tookPlace: () => true,
+    tookPlace: (run) => restarts(run) >= 9,
   },
   {
     name: 'its controller is frozen and returns after a takeover',
@@ -183,7 +201,7 @@
       world.pauseHost('a', 12_000);
       world.pauseHost('b', 3000);
     },
-    tookPlace: () => true,
+    tookPlace: (run) => wasTakenFrom('a', run),
   },
   {
     name: 'the machine is lent to a controller that places a large gang',
@@ -213,6 +231,16 @@
     },
     tookPlace: ({ world }) => !hasNewIncarnation(world),
   },
+  {
+    name: 'the machine is cut off for less than a second, again and again',
+    inject(world) {
+      for (let index = 0; index < 9; index++)
+        afterSeconds(world, index * 2, () => {
+          partition(world, 0.8, 'hold', (from, to) => from.startsWith('i-') || to.startsWith('i-'));
+        });
+    },
+    tookPlace: ({ world }) => world.net.affectedMessages.hold > 0 && !hasNewIncarnation(world),
+  },
 ];
 
 /** Samples the owners of all machines each second. */
@@ -240,9 +268,10 @@
     afterMs: COPY_DELAY_MS,
     copies: COPIES,
   };
-  const run = { world, owners: observeOwners(world) };
+  const run: Run = { world, owners: observeOwners(world), incarnationsBefore: 0 };
   end.run(world);
   afterSeconds(world, DISRUPTED_AT_S, () => {
+    run.incarnationsBefore = controllerIncarnations(world);
     disruption.inject(world);
   });
   world.checker.faultsEndAt = DURATION_S * 1000;
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -135,6 +135,13 @@
       machines.duplicateShare = 0;
     });
   },
+  'commands repeated': (injection) => {
+    const { machines } = injection.cluster;
+    machines.duplicateCommandShare = 0.1 * injection.count;
+    onFaultEnd(injection, () => {
+      machines.duplicateCommandShare = 0;
+    });
+  },
   'machine hangs': (injection) => {
     for (const machineId of injection.machines) hangMachine(injection, machineId);
   },
--- a/test/soak/machines.ts
+++ b/test/soak/machines.ts
@@ -44,6 +44,8 @@
   readonly workers = new Map<string, FakeWorker>();
   /** Share of heartbeats that are sent again later, to the process that then has the address. */
   duplicateShare = 0;
+  /** Share of command requests of which a copy reaches the worker later. */
+  duplicateCommandShare = 0;
   private readonly addresses = new Map<string, string>();
   private readonly environment: WorkerEnvironment;
 
@@ -97,9 +99,21 @@
   private serveCommands(worker: FakeWorker, call: Call): Promise<Answer> {
     const commands = JSON.stringify(call.body?.['orders'] ?? []);
     this.options.note(`${worker.id} gets ${call.path} ${commands}`);
+    this.repeatLater(worker, call);
     return worker.dead ? new Promise<Answer>(() => undefined) : worker.handle(call);
   }
 
+  /** Delivers a copy of some command requests late; nobody gets the answer. */
+  private repeatLater(worker: FakeWorker, call: Call): void {
+    const { time, random, note } = this.options;
+    if (!random.chance(this.duplicateCommandShare)) return;
+    time.after(random.real(500, LIMITS.leaseS * 2000), () => {
+      if (worker.dead) return;
+      note(`${worker.id} gets a copy of ${JSON.stringify(call.body ?? {})}`);
+      void worker.handle(call);
+    });
+  }
+
   private sendHeartbeat(machineId: string, host: string, call: Call): Promise<Answer> {
     const { time, random, callers } = this.options;
     const index = HOSTS.findIndex((name) => name === host);
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -19,6 +19,7 @@
   'machine hangs',
   'machine ends',
   'cancel now',
+  'commands repeated',
 ] as const;
 
 export type FaultKind = (typeof KINDS)[number];
