--- a/src/workers/cordons.ts
+++ b/src/workers/cordons.ts
@@ -23,7 +23,7 @@
   ) {}
 
   /**
-   * Whether tasks may be placed on a machine: its worker has reported the current fencing token, is alive, and has no
+   * Whether tasks may be placed on a machine: its worker has reported a token of the current range, is alive, and has no
    * start request with unknown outcome.
    */
   isUsable(machineId: string): boolean {
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -29,8 +29,8 @@
 
 /**
  * Determines the commands for a machine and the allocations that have ended. The tasks must be fenced: reported under
- * the owner's current token, so that no command sent under a lower token can still change them. No start request under
- * this token may be unanswered. Otherwise the absence of a task proves nothing.
+ * a token of the owner's range, so that no command of an earlier owner can still change them. No start request of this
+ * owner may be unanswered. Otherwise the absence of a task proves nothing.
  */
 export function reconcileMachine(
   machineId: string,
--- a/src/workers/session-store.ts
+++ b/src/workers/session-store.ts
@@ -39,12 +39,12 @@
     return this.domainManager.fencingTokenFor(session.machineId) !== null;
   }
 
-  /** Whether the machine is owned under the session's fencing token. */
+  /** Whether the machine is owned under the session's range of fencing tokens. */
   isOwned(session: WorkerSession): boolean {
     return this.domainManager.fencingTokenFor(session.machineId) === session.fencingToken;
   }
 
-  /** The session of a machine owned under this token; created, or moved to the token, as needed. */
+  /** The session of a machine owned under the range that starts with this token; created, or moved to it, as needed. */
   open(machineId: string, fencingToken: number): WorkerSession {
     const existing = this.sessions.get(machineId);
     if (existing) {
--- a/test/late-starts.test.ts
+++ b/test/late-starts.test.ts
@@ -145,7 +145,7 @@
 const hasNewIncarnation = (world: World): boolean =>
   [...world.workers.values()].some(({ incarnation }) => incarnation > 1);
 
-/** Isolates two machines, in one direction or in both, for longer than a worker's lease. */
+/** Isolates two machines for longer than a worker's lease. */
 const isolateMachines = (world: World): void => {
   const isolated = [...world.workers.values()].slice(0, 2);
   const names = isolated.flatMap(({ id, address }) => [id, address]);
